--- a/harness/cluster.py
+++ b/harness/cluster.py
@@ -20,7 +20,7 @@
 )
 from .fault_proxy import FaultProxy
 from .operator import Operator, get_ready
-from .ports import take_port
+from .ports import return_ports, take_port
 from .process import Process, wait_for
 
 START_TIMEOUT_S = 30.0
@@ -65,9 +65,16 @@
         """Own HTTP address of each entry and target, without a proxy."""
         self.rpc_addresses: dict[str, str] = {}
         self.weight_store = ""
+        self.ports: list[int] = []
 
     # Start and end.
 
+    def take_port(self) -> int:
+        """Return a port that is this cluster's until it closes."""
+        port = take_port()
+        self.ports.append(port)
+        return port
+
     def start(self, document: str | None = None) -> None:
         """Start everything, apply a document and wait until it serves."""
         self.proxy.start()
@@ -87,6 +94,7 @@
             process.signal(signal.SIGCONT)
             process.kill()
         self.proxy.close()
+        return_ports(self.ports)
         shutil.rmtree(self.folder, ignore_errors=True)
 
     def __enter__(self) -> Cluster:
@@ -112,7 +120,7 @@
         """Prepare the control replicas and the links between them."""
         self.controls = [f"c{index + 1}" for index in range(self.deployment.controls)]
         for name in self.controls:
-            self.rpc_addresses[name] = f"127.0.0.1:{take_port()}"
+            self.rpc_addresses[name] = f"127.0.0.1:{self.take_port()}"
         for name in self.controls:
             self.init_control(name)
             self.add_process(name, self.get_control_arguments(name))
@@ -163,7 +171,7 @@
     def add_entry(self, index: int) -> str:
         """Add an entry node."""
         name = f"e{index + 1}"
-        http_port, rpc_port = take_port(), take_port()
+        http_port, rpc_port = self.take_port(), self.take_port()
         self.http_addresses[name] = f"127.0.0.1:{http_port}"
         self.rpc_addresses[name] = f"127.0.0.1:{rpc_port}"
         advertised = self.link("nodes", name, self.rpc_addresses[name])
@@ -184,11 +192,22 @@
         self.add_process(name, arguments)
         return name
 
+    def wait_start(self, condition, what: str, interval_s: float = 0.02) -> None:
+        """Wait until a condition holds, unless a process of the cluster ends."""
+
+        def is_met() -> bool:
+            for process in self.processes.values():
+                if process.running is not None:
+                    process.check_running()
+            return condition()
+
+        wait_for(is_met, START_TIMEOUT_S, what, interval_s)
+
     def wait_ready(self, names: list[str] | None = None) -> None:
         """Wait until entries take requests."""
         for name in names or self.entries:
             address = self.http_addresses[name]
-            wait_for(lambda: get_ready(address), START_TIMEOUT_S, f"{name} to be ready")
+            self.wait_start(lambda: get_ready(address), f"{name} to be ready")
 
     @property
     def operator(self) -> Operator:
@@ -200,7 +219,7 @@
 
     def add_targets(self) -> None:
         """Start the weight store, engines, services and stores."""
-        port = take_port()
+        port = self.take_port()
         self.weight_store = f"127.0.0.1:{port}"
         self.http_addresses["weights"] = self.weight_store
         load_s = str(self.deployment.weight_load_s)
@@ -215,7 +234,7 @@
 
     def make_target(self, name: str, kind: str, pool: str, index: int) -> list[str]:
         """Return the flags that every target has."""
-        port = take_port()
+        port = self.take_port()
         self.http_addresses[name] = f"127.0.0.1:{port}"
         advertised = self.link("nodes", name, self.http_addresses[name])
         centres = self.deployment.data_centres
@@ -288,7 +307,7 @@
             status = operator.call("status", {})
             return wanted <= {load["target_id"] for load in status["loads"]}
 
-        wait_for(is_known, START_TIMEOUT_S, "targets to be known", 0.1)
+        self.wait_start(is_known, "targets to be known", 0.1)
         # Entries learn of the last target with their next heartbeat.
         for name in self.entries:
             log = self.folder / f"{name}.log"
--- a/harness/fault_proxy.py
+++ b/harness/fault_proxy.py
@@ -7,7 +7,7 @@
 import threading
 from dataclasses import dataclass, field
 
-from .ports import take_port
+from .ports import return_ports, take_port
 
 READ_BYTES = 16 * 1024
 
@@ -60,6 +60,7 @@
     def __init__(self, seed: int = 1) -> None:
         self.random = random.Random(seed)
         self.links: dict[str, Link] = {}
+        self.servers: list[asyncio.Server] = []
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
 
@@ -73,10 +74,13 @@
         self.loop.call_soon_threadsafe(self.loop.stop)
         self.thread.join()
         self.loop.close()
+        return_ports(link.port for link in self.links.values())
 
     async def cancel_all(self) -> None:
         """End every connection."""
         tasks = [t for t in asyncio.all_tasks() if t is not asyncio.current_task()]
+        for server in self.servers:
+            server.close()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -98,7 +102,10 @@
         async def accept(reader, writer) -> None:
             await self.serve(link, reader, writer)
 
-        await asyncio.start_server(accept, "127.0.0.1", link.port, backlog=512)
+        server = await asyncio.start_server(
+            accept, "127.0.0.1", link.port, backlog=512
+        )
+        self.servers.append(server)
 
     async def serve(
         self, link: Link, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/harness/ports.py
+++ b/harness/ports.py
@@ -8,6 +8,7 @@
 
 import os
 import socket
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 FIRST_PORT = 15000
@@ -24,13 +25,20 @@
     first: int
     next: int
 
+    @property
+    def end(self) -> int:
+        """The port behind the block's last one."""
+        return self.first + BLOCK_PORTS
 
-_block: PortBlock | None = None
+
+_blocks: list[PortBlock] = []
+_lent: set[int] = set()
 
 
 def is_free(port: int) -> bool:
-    """Whether nothing listens on a port."""
+    """Whether a program could listen on a port, bound as the programs bind."""
     with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
             probe.bind(("127.0.0.1", port))
         except OSError:
@@ -58,13 +66,19 @@
 
 
 def take_port() -> int:
-    """Return a port that nothing listens on."""
-    global _block
-    if _block is None:
-        _block = claim_block()
-    while True:
-        port = _block.next
-        is_last = port + 1 == _block.first + BLOCK_PORTS
-        _block.next = _block.first + 1 if is_last else port + 1
-        if is_free(port):
-            return port
+    """Return a port that nothing listens on; it is lent until `return_ports`."""
+    for block in _blocks:
+        for _ in range(BLOCK_PORTS - 1):
+            port = block.next
+            is_last = port + 1 == block.end
+            block.next = block.first + 1 if is_last else port + 1
+            if port not in _lent and is_free(port):
+                _lent.add(port)
+                return port
+    _blocks.append(claim_block())
+    return take_port()
+
+
+def return_ports(ports: Iterable[int]) -> None:
+    """Give ports back whose processes have ended."""
+    _lent.difference_update(ports)
--- a/harness/process.py
+++ b/harness/process.py
@@ -15,6 +15,14 @@
 """Longest graceful stop: the program's own bound and some time to exit."""
 
 
+LAST_LINES = 20
+"""Lines of a process's output that tell why it ended."""
+
+
+class ProcessEndedError(RuntimeError):
+    """A process that a start waits for has ended by itself."""
+
+
 class Process:
     """A process that can be killed, frozen and started again.
 
@@ -29,9 +37,12 @@
         self.arguments = arguments
         self.output = folder / f"{name}.out"
         self.running: subprocess.Popen | None = None
+        self.is_stopped = False
+        """Whether the harness itself has ended the process."""
 
     def start(self) -> None:
         """Start the process."""
+        self.is_stopped = False
         with open(self.output, "ab") as stream:
             self.running = subprocess.Popen(
                 [sys.executable, "-u", *self.arguments],
@@ -46,6 +57,16 @@
         """Whether the process lives."""
         return self.running is not None and self.running.poll() is None
 
+    def check_running(self) -> None:
+        """Check that a started process has not ended by itself.
+
+        Raises:
+            ProcessEndedError: With the last lines that it wrote.
+        """
+        if not self.is_running and not self.is_stopped:
+            lines = self.read_output().splitlines()[-LAST_LINES:]
+            raise ProcessEndedError(f"{self.name} has ended:\n" + "\n".join(lines))
+
     def signal(self, number: int) -> None:
         """Send a signal if the process lives."""
         if self.is_running:
@@ -53,6 +74,7 @@
 
     def kill(self) -> None:
         """End the process at once."""
+        self.is_stopped = True
         self.signal(signal.SIGKILL)
         if self.running is not None:
             self.running.wait(STOP_TIMEOUT_S)
@@ -67,6 +89,7 @@
 
     def stop(self) -> int:
         """Stop the process gracefully and return its exit code."""
+        self.is_stopped = True
         self.signal(signal.SIGTERM)
         return self.running.wait(STOP_TIMEOUT_S) if self.running else 0
 
--- a/src/laburnumpitch/control/replica.py
+++ b/src/laburnumpitch/control/replica.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, replace
-from typing import Any
+from typing import Any, Protocol
 
 from .._tasks import cancel_and_wait
 from ..errors import ControlUnavailableError, NotLeaderError
@@ -20,7 +20,6 @@
 from ..metrics import Metrics
 from ..transport.codec import decode, encode
 from ..transport.rpc import RpcPool
-from .commands import Command
 from .log_store import LogStore, Snapshot, get_replica_name
 from .raft import LEADER, RaftCore
 from .raft_messages import (
@@ -49,11 +48,23 @@
 """Inputs handled before one sync."""
 
 
+class Machine(Protocol):
+    """The replicated state."""
+
+    state: Any
+
+    def apply(self, command: Any) -> Any:
+        """Take one committed command and return its result."""
+
+    def dump(self) -> bytes:
+        """Return a snapshot of the state."""
+
+
 @dataclass(frozen=True)
 class Proposal:
     """A command on its way into the log."""
 
-    command: Command
+    command: Any
     future: asyncio.Future[Any]
     proposed_at_s: float
 
@@ -76,6 +87,7 @@
         metrics: Where measurements go.
         get_time_s: Monotonic time.
         snapshot_entries: Entries after which the log becomes a snapshot.
+        make_machine: Makes the state machine from a snapshot.
     """
 
     def __init__(
@@ -86,6 +98,7 @@
         metrics: Metrics,
         get_time_s: Callable[[], float] = time.monotonic,
         snapshot_entries: int = SNAPSHOT_ENTRIES,
+        make_machine: Callable[[bytes], Machine] = StateMachine,
     ) -> None:
         self.store = store
         self.peers = peers
@@ -93,6 +106,7 @@
         self.metrics = metrics
         self.get_time_s = get_time_s
         self.snapshot_entries = snapshot_entries
+        self.make_machine = make_machine
         self.inputs: asyncio.Queue[Any] = asyncio.Queue()
         self.waiting: dict[int, tuple[int, Proposal]] = {}
         """Term and proposal by log index."""
@@ -113,7 +127,7 @@
         identity = self.store.load_identity()
         stored = self.store.load()
         self.snapshot = stored.snapshot
-        self.machine = StateMachine(stored.snapshot.data)
+        self.machine = self.make_machine(stored.snapshot.data)
         self.applied_index = stored.snapshot.meta.index
         self.core = RaftCore(
             identity.replica_id,
@@ -163,7 +177,7 @@
         """Return the name of the leader that this replica follows, or ''."""
         return get_replica_name(self.core.leader_id)
 
-    async def propose(self, command: Command) -> Any:
+    async def propose(self, command: Any) -> Any:
         """Commit a command and return its result.
 
         Raises:
@@ -358,7 +372,7 @@
     async def install_snapshot(self, request: SnapshotRequest) -> None:
         """Replace the state by the leader's snapshot."""
         snapshot = Snapshot(request.meta, request.data)
-        self.machine = StateMachine(request.data)
+        self.machine = self.make_machine(request.data)
         self.applied_index = request.meta.index
         await self.save(snapshot)
         self.log.info("snapshot_installed", index=request.meta.index)
--- a/src/laburnumpitch/errors.py
+++ b/src/laburnumpitch/errors.py
@@ -273,6 +273,13 @@
     status = 422
 
 
+class InvalidConfigurationError(LaburnumpitchError):
+    """A configuration cannot be read in full, or breaks a rule."""
+
+    code = "invalid_configuration"
+    status = 400
+
+
 class ShardMovedError(LaburnumpitchError):
     """The node asked does not own the directory shard in its view."""
 
--- /dev/null
+++ b/src/laburnumpitch/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Nodes that find each other, agree on state, and tell each other of targets."""
--- /dev/null
+++ b/src/laburnumpitch/fleet/fleet_state.py
@@ -0,0 +1,58 @@
+"""The fleet's replicated state: the configuration and the named weights."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from .messages import StoreConfiguration, StoreWeights
+
+
+@dataclass
+class State:
+    """Everything that a snapshot holds."""
+
+    configuration_version: int = 0
+    configuration: bytes = b""
+    """Packed text of the newest configuration; empty before the first one."""
+    weights: dict[str, int] = field(default_factory=dict)
+    """Newest named version by model."""
+
+
+class FleetState:
+    """Applies committed commands; the same commands give the same state.
+
+    Args:
+        data: A snapshot from `dump`, or empty.
+    """
+
+    def __init__(self, data: bytes = b"") -> None:
+        self.state = msgspec.msgpack.decode(data, type=State) if data else State()
+
+    def dump(self) -> bytes:
+        """Return a snapshot of the state."""
+        return msgspec.msgpack.encode(self.state)
+
+    def apply(self, command: Any) -> int:
+        """Take one committed command and return the version now in force."""
+        if isinstance(command, StoreConfiguration):
+            return self.on_store_configuration(command)
+        if isinstance(command, StoreWeights):
+            return self.on_store_weights(command)
+        raise TypeError(f"unknown command {type(command).__name__}")
+
+    def on_store_configuration(self, command: StoreConfiguration) -> int:
+        """Keep a configuration if its version is the highest so far."""
+        state = self.state
+        if command.version > state.configuration_version or not state.configuration:
+            state.configuration_version = command.version
+            state.configuration = command.packed
+        return state.configuration_version
+
+    def on_store_weights(self, command: StoreWeights) -> int:
+        """Keep a weight version if it is the model's highest so far."""
+        known = self.state.weights.get(command.model, 0)
+        self.state.weights[command.model] = max(known, command.version)
+        return self.state.weights[command.model]
--- /dev/null
+++ b/src/laburnumpitch/fleet/follower.py
@@ -0,0 +1,161 @@
+"""A node's view of the fleet: configuration, targets, weights and members."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import zlib
+from collections.abc import Callable
+
+from .._tasks import cancel_and_wait
+from ..control.raft_messages import Member
+from ..errors import InvalidConfigurationError, LaburnumpitchError
+from ..logging import get_logger
+from ..relay.configuration import RoutingConfiguration
+from .leader_client import LeaderClient
+from .messages import Follow, FollowAnswer, NodeRecord
+from .target_table import TargetTable
+
+CALL_TIMEOUT_S = 1.5
+"""Time for one call over all hosts; a held call takes 0.4 s."""
+
+LOST_S = 1.5
+"""Silence of the leader after which it counts as lost."""
+
+RETRY_PAUSE_S = 0.1
+"""Pause after a failed call, spread at random."""
+
+Decode = Callable[[bytes], RoutingConfiguration]
+
+
+class Follower:
+    """Follows the leader and keeps what it says.
+
+    Args:
+        node: This node.
+        leader: Finds the leader.
+        decode: Reads a configuration's text.
+        interval_s: Interval of the targets' announcements.
+        get_time_s: Monotonic time.
+    """
+
+    def __init__(
+        self,
+        node: NodeRecord,
+        leader: LeaderClient,
+        decode: Decode,
+        interval_s: float,
+        get_time_s: Callable[[], float],
+    ) -> None:
+        self.node = node
+        self.leader = leader
+        self.decode = decode
+        self.get_time_s = get_time_s
+        self.targets = TargetTable(interval_s)
+        self.configuration: RoutingConfiguration | None = None
+        self.packed = b""
+        """Text of the configuration in force, packed."""
+        self.weights: dict[str, int] = {}
+        self.quarantined: frozenset[str] = frozenset()
+        self.members: list[Member] = []
+        self.hosts: list[str] = []
+        self.node_count = 1
+        self.term = -1
+        self.sequence = 0
+        self.named: set[str] = set()
+        """Targets that this term's leader has named."""
+        self.heard_s = float("-inf")
+        self.is_lost = True
+        self.on_change: list[Callable[[], None]] = []
+        self.log = get_logger()
+        self.task: asyncio.Task[None] | None = None
+
+    @property
+    def is_in_touch(self) -> bool:
+        """Whether the leader was heard lately."""
+        return self.get_time_s() - self.heard_s < LOST_S
+
+    async def start(self) -> None:
+        """Begin to follow."""
+        self.task = asyncio.create_task(self.run())
+
+    async def close(self) -> None:
+        """Stop following."""
+        await cancel_and_wait(self.task)
+
+    async def run(self) -> None:
+        """Ask for news until cancelled."""
+        while True:
+            try:
+                answer = await self.leader.call(self.make_call(), CALL_TIMEOUT_S)
+                self.take(answer)
+            except LaburnumpitchError as error:
+                self.note_failure(error)
+                await asyncio.sleep(RETRY_PAUSE_S * random.uniform(0.5, 1.5))
+
+    def make_call(self) -> Follow:
+        """Return a call that says what this node has."""
+        version = self.configuration.version if self.configuration else -1
+        return Follow(self.node, self.term, self.sequence, version)
+
+    def note_failure(self, error: LaburnumpitchError) -> None:
+        """Log once that the leader is lost."""
+        if not self.is_lost and not self.is_in_touch:
+            self.is_lost = True
+            self.log.warning(
+                "leader_lost", code=error.code, term=self.term, hint=self.leader.leader
+            )
+
+    def take(self, answer: FollowAnswer) -> None:
+        """Keep what a leader says, unless a newer leader has spoken."""
+        if answer.term < self.term:
+            return
+        now_s = self.get_time_s()
+        if answer.term > self.term:
+            self.named = set()
+        if self.is_lost or answer.term > self.term:
+            self.log.info(
+                "leader_found", leader=self.leader.leader, term=answer.term
+            )
+        self.is_lost = False
+        self.heard_s = now_s
+        self.term, self.sequence = answer.term, answer.sequence
+        self.named.update(record.target_id for record in answer.targets)
+        self.targets.take_changes(answer.targets, now_s)
+        if answer.is_settled:
+            self.mark_unnamed()
+        self.weights = answer.weights
+        self.quarantined = frozenset(answer.quarantined)
+        self.members = answer.members
+        self.hosts = answer.hosts
+        self.node_count = max(1, len(answer.hosts))
+        self.leader.set_hosts(member.name for member in answer.members)
+        if answer.configuration:
+            self.take_configuration(answer.configuration)
+        for callback in self.on_change:
+            callback()
+
+    def mark_unnamed(self) -> None:
+        """Targets that a settled leader never heard of have gone silent."""
+        for target_id in set(self.targets.known) - self.named:
+            if self.targets.mark_silent(target_id):
+                self.log.info("target_silent", target=target_id)
+
+    def take_configuration(self, packed: bytes) -> None:
+        """Put a newer configuration in force; an older one never is again."""
+        try:
+            configuration = self.decode(zlib.decompress(packed))
+        except (InvalidConfigurationError, zlib.error) as error:
+            self.log.error("configuration_unreadable", detail=str(error))
+            return
+        known = self.configuration
+        if known is not None and configuration.version <= known.version:
+            return
+        self.configuration = configuration
+        self.packed = packed
+        self.log.info(
+            "configuration_in_force",
+            version=configuration.version,
+            before=known.version if known else None,
+            routes=len(configuration.routes),
+        )
--- /dev/null
+++ b/src/laburnumpitch/fleet/founding.py
@@ -0,0 +1,141 @@
+"""How nodes that know three hosts become one cluster at the first start.
+
+Every node says hello to the seeds. The first seed waits until no further node
+with a disk appears, and then names all of them as the first voters. Everybody
+else takes the cluster from an answer. A later seed founds only if the ones before
+it stay silent.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+from collections.abc import Callable
+
+from ..control.log_store import make_first_replica_id
+from ..control.raft_messages import Member
+from ..errors import LaburnumpitchError
+from ..logging import get_logger
+from ..transport.rpc import RpcPool
+from .messages import Hello, HelloAnswer, NodeRecord
+
+HELLO_INTERVAL_S = 0.15
+"""Interval of hellos while a node belongs to no cluster."""
+
+HELLO_TIMEOUT_S = 0.4
+"""Time for an answer to a hello."""
+
+QUIET_S = 0.5
+"""Time without a new node after which the first seed founds the cluster; nodes
+start within 0.3 s of each other."""
+
+GATHER_S = 1.0
+"""Least time for which the first seed gathers nodes."""
+
+SEED_DELAY_S = 3.0
+"""Time for which a seed waits for each seed before it."""
+
+
+class Founding:
+    """This node's way into a cluster.
+
+    Args:
+        node: This node.
+        seeds: Hosts of the seeds, in the order that all nodes have.
+        is_first_start: Whether a cluster may be founded.
+        pool: Connections to other nodes.
+        rpc_port: Port of every node.
+        get_time_s: Monotonic time.
+    """
+
+    def __init__(
+        self,
+        node: NodeRecord,
+        seeds: tuple[str, ...],
+        is_first_start: bool,
+        pool: RpcPool,
+        rpc_port: int,
+        get_time_s: Callable[[], float],
+    ) -> None:
+        self.node = node
+        self.seeds = seeds
+        self.is_first_start = is_first_start
+        self.pool = pool
+        self.rpc_port = rpc_port
+        self.get_time_s = get_time_s
+        self.started_s = get_time_s()
+        self.newest_s = self.started_s
+        self.gathered: dict[str, NodeRecord] = {}
+        if node.has_disk:
+            self.gathered[node.host] = node
+        self.cluster_id = ""
+        self.members: list[Member] = []
+        self.leader_host = ""
+        self.is_answered: set[str] = set()
+        """Seeds that have answered a hello."""
+        self.log = get_logger()
+
+    async def on_hello(self, call: Hello) -> HelloAnswer:
+        """Note a node with a disk, and say what is known of the cluster."""
+        if call.node.has_disk and call.node.host not in self.gathered:
+            self.gathered[call.node.host] = call.node
+            self.newest_s = self.get_time_s()
+        return HelloAnswer(self.cluster_id, self.members, self.leader_host)
+
+    async def join(self, is_over: Callable[[], bool]) -> None:
+        """Ask the seeds until the cluster is known, founding it if that is due.
+
+        Args:
+            is_over: Whether the cluster has become known in another way.
+        """
+        while not self.cluster_id and not is_over():
+            others = [seed for seed in self.seeds if seed != self.node.host]
+            await asyncio.gather(*(self.ask(seed) for seed in others))
+            if not self.cluster_id and self.is_due():
+                self.found()
+            if not self.cluster_id:
+                await asyncio.sleep(HELLO_INTERVAL_S)
+
+    async def ask(self, seed: str) -> None:
+        """Say hello to one seed."""
+        client = self.pool.get(f"{seed}:{self.rpc_port}")
+        try:
+            answer = await client.call(
+                Hello(self.node, self.cluster_id), HELLO_TIMEOUT_S
+            )
+        except LaburnumpitchError:
+            return
+        self.is_answered.add(seed)
+        if answer.cluster_id and not self.cluster_id:
+            self.take(answer.cluster_id, answer.members)
+            self.leader_host = answer.leader_host
+
+    def take(self, cluster_id: str, members: list[Member]) -> None:
+        """Know the cluster from now on."""
+        self.cluster_id = cluster_id
+        self.members = members
+
+    def is_due(self) -> bool:
+        """Whether this node has to found the cluster now."""
+        if not self.is_first_start or not self.gathered:
+            return False
+        if self.node.host not in self.seeds:
+            return False
+        rank = self.seeds.index(self.node.host)
+        if any(seed in self.is_answered for seed in self.seeds[:rank]):
+            return False
+        now_s = self.get_time_s()
+        least_s = GATHER_S + rank * SEED_DELAY_S
+        return now_s - self.started_s >= least_s and now_s - self.newest_s >= QUIET_S
+
+    def found(self) -> None:
+        """Name the first voters."""
+        cluster_id = uuid.uuid4().hex[:8]
+        members = [
+            Member(make_first_replica_id(host, cluster_id), host, node.rpc_address, True)
+            for host, node in sorted(self.gathered.items())
+        ]
+        self.take(cluster_id, members)
+        self.log.info(
+            "cluster_founded", cluster=cluster_id, voters=",".join(self.gathered)
+        )
--- /dev/null
+++ b/src/laburnumpitch/fleet/hub.py
@@ -0,0 +1,230 @@
+"""The leader's table of targets, and the nodes that follow it.
+
+Only the leader's hub is asked. A node's next call acknowledges what the answer to
+its last one told it, so the leader knows when a change is known everywhere.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..control.replica import Replica
+from ..errors import LaburnumpitchError
+from ..logging import get_logger
+from .messages import Follow, FollowAnswer, NodeRecord, TargetDied
+from .target_table import TargetTable
+
+HOLD_S = 0.4
+"""Time for which a call waits for news; bounds the calls of idle nodes."""
+
+LIVE_S = 1.0
+"""Silence after which a node is not waited for; over two held calls."""
+
+SEEN_TIMEOUT_S = 0.55
+"""Longest wait for nodes to hear of a change; a target waits a second for its
+acknowledgement."""
+
+SETTLE_INTERVALS = 2.5
+"""Announcement intervals after which a new leader knows every target."""
+
+CHECK_INTERVAL_S = 0.3
+"""Interval of looking for silent targets."""
+
+MAX_DEATHS = 3
+"""Targets that may die of one request before it is refused everywhere."""
+
+MAX_QUARANTINED = 200
+"""Quarantined requests that are kept."""
+
+MAX_SUSPECTS = 5000
+"""Requests with a death whose deaths are counted."""
+
+
+@dataclass
+class FollowerState:
+    """A node that follows this leader."""
+
+    node: NodeRecord
+    heard_s: float
+    sequence: int
+
+
+class Hub:
+    """What the leader knows beside the replicated state.
+
+    Args:
+        replica: This node's replica.
+        interval_s: Interval of the targets' announcements.
+        get_time_s: Monotonic time.
+    """
+
+    def __init__(
+        self, replica: Replica, interval_s: float, get_time_s: Callable[[], float]
+    ) -> None:
+        self.replica = replica
+        self.interval_s = interval_s
+        self.get_time_s = get_time_s
+        self.log = get_logger()
+        self.changed = asyncio.Event()
+        self.reset(-1)
+
+    def reset(self, term: int) -> None:
+        """Begin a term without any soft state."""
+        self.term = term
+        self.started_s = self.get_time_s()
+        self.targets = TargetTable(self.interval_s)
+        self.followers: dict[str, FollowerState] = {}
+        self.deaths: dict[str, set[str]] = {}
+        self.quarantined: dict[str, None] = {}
+        self.wake()
+
+    def check_term(self) -> None:
+        """Begin anew in a new term.
+
+        Raises:
+            NotLeaderError: If this replica does not lead.
+        """
+        self.replica.require_leader()
+        if self.term != self.replica.core.term:
+            self.reset(self.replica.core.term)
+
+    def wake(self) -> None:
+        """Let every held call look again."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    @property
+    def sequence(self) -> int:
+        """Number of the newest change."""
+        return self.targets.sequence
+
+    def publish(self) -> int:
+        """Number a change outside the targets and tell of it."""
+        self.targets.sequence += 1
+        self.wake()
+        return self.sequence
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether every target has had time to announce itself here."""
+        age_s = self.get_time_s() - self.started_s
+        return age_s > self.interval_s * SETTLE_INTERVALS
+
+    def count_nodes(self) -> int:
+        """Return the number of nodes that follow."""
+        horizon_s = self.get_time_s() - LIVE_S
+        return sum(f.heard_s >= horizon_s for f in self.followers.values())
+
+    async def follow(self, call: Follow) -> FollowAnswer:
+        """Tell a node what is new, at the latest after `HOLD_S`.
+
+        Raises:
+            NotLeaderError: If this replica does not lead.
+        """
+        self.check_term()
+        follower = FollowerState(call.node, self.get_time_s(), 0)
+        if call.term == self.term:
+            follower.sequence = call.sequence
+        if call.node.host not in self.followers:
+            self.log.info("node_follows", host=call.node.host, term=self.term)
+        self.followers[call.node.host] = follower
+        self.wake()
+        deadline_s = self.get_time_s() + HOLD_S
+        while not self.has_news(call):
+            remaining_s = deadline_s - self.get_time_s()
+            if remaining_s <= 0:
+                break
+            changed = self.changed
+            try:
+                await asyncio.wait_for(changed.wait(), remaining_s)
+            except asyncio.TimeoutError:
+                break
+            self.check_term()
+        follower.heard_s = self.get_time_s()
+        self.check_term()
+        return self.make_answer(call)
+
+    def has_news(self, call: Follow) -> bool:
+        """Whether a node lacks something."""
+        state = self.replica.machine.state
+        return (
+            call.term != self.term
+            or call.sequence < self.sequence
+            or call.configuration_version != state.configuration_version
+        )
+
+    def make_answer(self, call: Follow) -> FollowAnswer:
+        """Return all that a node lacks."""
+        state = self.replica.machine.state
+        is_full = call.term != self.term
+        after = 0 if is_full else call.sequence
+        has_newest = call.configuration_version >= state.configuration_version
+        horizon_s = self.get_time_s() - LIVE_S
+        return FollowAnswer(
+            term=self.term,
+            sequence=self.sequence,
+            is_settled=self.is_settled,
+            is_full=is_full,
+            targets=self.targets.get_changes(after),
+            configuration_version=state.configuration_version,
+            configuration=b"" if has_newest else state.configuration,
+            weights=state.weights,
+            members=self.replica.core.members,
+            hosts=[h for h, f in self.followers.items() if f.heard_s >= horizon_s],
+            quarantined=list(self.quarantined),
+        )
+
+    async def wait_seen(self, sequence: int) -> bool:
+        """Wait until every live node knows of a change.
+
+        Returns:
+            Whether all have confirmed it in time.
+        """
+        deadline_s = self.get_time_s() + SEEN_TIMEOUT_S
+        term = self.term
+        while self.term == term:
+            horizon_s = self.get_time_s() - LIVE_S
+            late = [
+                f.node.host
+                for f in self.followers.values()
+                if f.heard_s >= horizon_s and f.sequence < sequence
+            ]
+            remaining_s = deadline_s - self.get_time_s()
+            if not late:
+                return True
+            if remaining_s <= 0:
+                self.log.info("change_unconfirmed", sequence=sequence, late=late[:5])
+                return False
+            try:
+                await asyncio.wait_for(self.changed.wait(), remaining_s)
+            except asyncio.TimeoutError:
+                continue
+        return False
+
+    async def run(self) -> None:
+        """Look for silent targets until cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            try:
+                self.check_term()
+            except LaburnumpitchError:
+                continue
+            if self.is_settled and self.targets.check_silence(self.get_time_s()):
+                self.publish()
+
+    def note_death(self, notice: TargetDied) -> None:
+        """Count a target that died while it ran a request."""
+        self.check_term()
+        while len(self.deaths) > MAX_SUSPECTS:
+            del self.deaths[next(iter(self.deaths))]
+        dead = self.deaths.setdefault(notice.fingerprint, set())
+        dead.add(f"{notice.target_id}/{notice.born_ms}")
+        if len(dead) < MAX_DEATHS or notice.fingerprint in self.quarantined:
+            return
+        self.log.warning("request_quarantined", fingerprint=notice.fingerprint)
+        self.quarantined[notice.fingerprint] = None
+        while len(self.quarantined) > MAX_QUARANTINED:
+            del self.quarantined[next(iter(self.quarantined))]
+        self.publish()
--- /dev/null
+++ b/src/laburnumpitch/fleet/leader_client.py
@@ -0,0 +1,38 @@
+"""Finds the leader among hosts that become known while the node runs."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from ..membership.control_client import ControlClient
+from ..transport.rpc import RpcPool
+
+
+class LeaderClient(ControlClient):
+    """Sends requests to whichever host's replica leads.
+
+    Args:
+        pool: Connections to other processes.
+        hosts: Hosts to ask first.
+        rpc_port: Port of every node.
+    """
+
+    def __init__(self, pool: RpcPool, hosts: Iterable[str], rpc_port: int) -> None:
+        self.rpc_port = rpc_port
+        super().__init__(pool, {host: f"{host}:{rpc_port}" for host in hosts})
+
+    def set_hosts(self, hosts: Iterable[str]) -> None:
+        """Ask these hosts from now on, beside the leader known last."""
+        wanted = dict.fromkeys([*hosts, self.leader])
+        self.addresses = {host: f"{host}:{self.rpc_port}" for host in wanted}
+        self.names = list(self.addresses)
+
+    def follow_hint(self, asked: str, hint: str) -> None:
+        """Choose the host to ask next; a hint may name a new one."""
+        if self.leader != asked:
+            return
+        if hint and hint not in self.addresses:
+            self.set_hosts([*self.names, hint])
+        if asked not in self.addresses:
+            self.set_hosts([*self.names, asked])
+        super().follow_hint(asked, hint)
--- /dev/null
+++ b/src/laburnumpitch/fleet/leader_service.py
@@ -0,0 +1,256 @@
+"""Answers the calls that only the leader can answer."""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from ..control.raft_messages import (
+    AppendAnswer,
+    AppendRequest,
+    Member,
+    SnapshotRequest,
+    VoteAnswer,
+    VoteRequest,
+)
+from ..control.replica import Replica
+from ..errors import ForbiddenError, NotFoundError, NotLeaderError
+from ..logging import get_logger
+from ..relay.configuration import RoutingConfiguration
+from ..transport.rpc import RpcServer
+from .core import Core
+from .hub import Hub
+from .messages import (
+    Announce,
+    AnnounceAnswer,
+    ConfigurationText,
+    Depart,
+    Follow,
+    FollowAnswer,
+    JoinCore,
+    JoinCoreAnswer,
+    PutConfiguration,
+    PutWeights,
+    ReadConfiguration,
+    StoreConfiguration,
+    StoreWeights,
+    TargetDied,
+    TargetRecord,
+)
+
+PACK_LEVEL = 1
+"""zlib level; a configuration is packed once and sent to every node."""
+
+LOST_VOTER_S = 6.0
+"""Silence after which a voter gives way to a new one."""
+
+MAX_VOTERS = 9
+"""Voters at most; further replicas only follow."""
+
+
+class LeaderService:
+    """The leader's side of every call; other nodes name the leader.
+
+    Args:
+        core: This node's replica, or None without a disk.
+        get_hint: Returns the host of the leader as far as this node knows.
+        home_address: This node's address for the targets' announcements.
+        decode: Reads a configuration's text.
+    """
+
+    def __init__(
+        self,
+        core: Core | None,
+        get_hint: Callable[[], str],
+        home_address: str,
+        decode: Callable[[bytes], RoutingConfiguration],
+    ) -> None:
+        self.core = core
+        self.get_hint = get_hint
+        self.home_address = home_address
+        self.decode = decode
+        self.log = get_logger()
+
+    def register(self, server: RpcServer) -> None:
+        """Answer the calls on a server."""
+        for message_type in (
+            *(VoteRequest, VoteAnswer, AppendRequest, AppendAnswer),
+            SnapshotRequest,
+        ):
+            server.on(message_type, self.on_raft_message)
+        server.on(Follow, self.on_follow)
+        server.on(Announce, self.on_announce)
+        server.on(Depart, self.on_depart)
+        server.on(PutConfiguration, self.on_put_configuration)
+        server.on(ReadConfiguration, self.on_read_configuration)
+        server.on(PutWeights, self.on_put_weights)
+        server.on(TargetDied, self.on_target_died)
+        server.on(JoinCore, self.on_join_core)
+
+    def require(self) -> tuple[Replica, Hub]:
+        """Return the replica and hub of a leader.
+
+        Raises:
+            NotLeaderError: With the host to ask instead.
+        """
+        core = self.core
+        if core is None or core.replica is None or core.hub is None:
+            raise NotLeaderError(self.get_hint())
+        core.hub.check_term()
+        return core.replica, core.hub
+
+    async def on_raft_message(self, item: Any) -> None:
+        """Hand a message to the replica."""
+        if self.core is not None and self.core.replica is not None:
+            await self.core.replica.on_raft_message(item)
+
+    async def on_follow(self, call: Follow) -> FollowAnswer:
+        """Tell a node what is new."""
+        _, hub = self.require()
+        return await hub.follow(call)
+
+    async def on_target_died(self, notice: TargetDied) -> None:
+        """Count a death."""
+        _, hub = self.require()
+        hub.note_death(notice)
+
+    # Targets.
+
+    async def on_announce(self, call: Announce) -> AnnounceAnswer:
+        """Take an announcement; answer once every node in touch knows of it."""
+        replica, hub = self.require()
+        before = hub.targets.known.get(call.record.target_id)
+        if hub.targets.take(call.record, hub.get_time_s()):
+            self.log_change(call.record, before.record if before else None)
+            hub.wake()
+            await hub.wait_seen(hub.sequence)
+            replica.require_leader()
+        return AnnounceAnswer(self.home_address)
+
+    def log_change(self, record: TargetRecord, before: TargetRecord | None) -> None:
+        """Log what a target's announcement changed."""
+        self.log.info(
+            "target_changed" if before else "target_found",
+            target=record.target_id,
+            service=record.service,
+            address=record.address,
+            leaving=record.is_leaving,
+            versions=record.versions,
+            was_silent=bool(before and before.is_silent),
+        )
+
+    async def on_depart(self, call: Depart) -> AnnounceAnswer:
+        """Take a target out; answer once every node in touch knows of it."""
+        replica, hub = self.require()
+        if hub.targets.mark_gone(call.target_id, hub.get_time_s()):
+            self.log.info("target_gone", target=call.target_id)
+            hub.wake()
+            await hub.wait_seen(hub.sequence)
+            replica.require_leader()
+        return AnnounceAnswer(self.home_address)
+
+    # Operators.
+
+    async def on_put_configuration(self, call: PutConfiguration) -> ConfigurationText:
+        """Commit a configuration; answer once every node in touch obeys it.
+
+        Raises:
+            InvalidConfigurationError: If it is invalid, whatever its version.
+        """
+        replica, hub = self.require()
+        configuration = self.decode(call.body)
+        state = replica.machine.state
+        if configuration.version > state.configuration_version or (
+            not state.configuration
+        ):
+            packed = zlib.compress(call.body, PACK_LEVEL)
+            version = await replica.propose(
+                StoreConfiguration(configuration.version, packed)
+            )
+            self.log.info(
+                "configuration_stored",
+                version=configuration.version,
+                in_force=version,
+                bytes=len(packed),
+            )
+            await hub.wait_seen(hub.publish())
+        return ConfigurationText(configuration.version, b"")
+
+    async def on_read_configuration(self, call: ReadConfiguration) -> ConfigurationText:
+        """Return the newest configuration.
+
+        Raises:
+            NotFoundError: If there is none yet.
+        """
+        replica, _ = self.require()
+        state = replica.machine.state
+        if not state.configuration:
+            raise NotFoundError("no configuration yet")
+        return ConfigurationText(
+            state.configuration_version, zlib.decompress(state.configuration)
+        )
+
+    async def on_put_weights(self, call: PutWeights) -> None:
+        """Commit a named weight version."""
+        replica, hub = self.require()
+        known = replica.machine.state.weights.get(call.model, 0)
+        if call.version > known:
+            await replica.propose(StoreWeights(call.model, call.version))
+            self.log.info("weights_named", model=call.model, version=call.version)
+            await hub.wait_seen(hub.publish())
+
+    # Voters.
+
+    async def on_join_core(self, call: JoinCore) -> JoinCoreAnswer:
+        """Bring in a replica with an empty disk.
+
+        Each call takes the next step that is due: add a learner, remove a lost
+        replica of the same host, let the learner vote, remove a voter that has
+        been silent for long.
+        """
+        replica, _ = self.require()
+        if call.cluster_id != self.core.founding.cluster_id:
+            raise ForbiddenError(f"this is cluster {self.core.founding.cluster_id}")
+        members = replica.core.members
+        own = [m for m in members if m.replica_id == call.replica_id]
+        lost = [
+            m for m in members if m.name == call.host and m.replica_id != call.replica_id
+        ]
+        if not own:
+            learner = Member(call.replica_id, call.host, call.address, False)
+            await replica.propose_members([*members, learner])
+        elif own[0].is_voter:
+            return JoinCoreAnswer(True)
+        elif has_caught_up(replica, call.replica_id):
+            lost = lost or self.find_silent_voters(replica)
+            if lost:
+                rest = [member for member in members if member != lost[0]]
+                await replica.propose_members(rest)
+            elif len(replica.core.voters) < MAX_VOTERS:
+                rest = [member for member in members if member not in own]
+                await replica.propose_members(
+                    [*rest, replace(own[0], is_voter=True)]
+                )
+        return JoinCoreAnswer(False)
+
+    def find_silent_voters(self, replica: Replica) -> list[Member]:
+        """Return voters that have been silent for long."""
+        core = replica.core
+        now_s = replica.get_time_s()
+        if now_s - core.leader_since_s < LOST_VOTER_S:
+            return []
+        return [
+            member
+            for member in core.members
+            if member.is_voter
+            and member.replica_id in core.progress
+            and now_s - core.progress[member.replica_id].acknowledged_s > LOST_VOTER_S
+        ]
+
+
+def has_caught_up(replica: Replica, replica_id: str) -> bool:
+    """Whether a learner has every committed entry."""
+    progress = replica.core.progress.get(replica_id)
+    return progress is not None and progress.match_index >= replica.core.commit_index
--- /dev/null
+++ b/src/laburnumpitch/fleet/messages.py
@@ -0,0 +1,193 @@
+"""Messages between the nodes of a fleet."""
+
+from __future__ import annotations
+
+from dataclasses import field
+
+from ..control.raft_messages import Member
+from ..transport.codec import message
+
+
+@message
+class NodeRecord:
+    """A node of the fleet."""
+
+    host: str
+    """Address that the node is known by; one process a host."""
+    node_id: str
+    """Name in settings and logs."""
+    rpc_address: str
+    control_address: str
+    data_centre: str
+    has_disk: bool
+
+
+@message
+class Hello:
+    """Asks a node which cluster it belongs to, and tells it of the sender."""
+
+    node: NodeRecord
+    cluster_id: str
+    """Empty if the sender belongs to none yet."""
+
+
+@message
+class HelloAnswer:
+    """What a node knows of its cluster."""
+
+    cluster_id: str
+    members: list[Member]
+    leader_host: str
+
+
+@message
+class JoinCore:
+    """Asks the leader to let a replica with an empty disk vote."""
+
+    cluster_id: str
+    replica_id: str
+    host: str
+    address: str
+
+
+@message
+class JoinCoreAnswer:
+    """Whether the replica votes now."""
+
+    is_voter: bool
+
+
+@message
+class TargetRecord:
+    """What a target said of itself last."""
+
+    target_id: str
+    service: str
+    address: str
+    data_centre: str
+    born_ms: int
+    """Wall time of the target's start; tells its incarnations apart."""
+    sequence: int
+    """Number of the announcement; a lower one is older."""
+    slots: int
+    is_leaving: bool = False
+    is_gone: bool = False
+    is_silent: bool = False
+    """Whether announcements have stopped coming."""
+    cold_s: float = 0.0
+    """How much longer it is slow after its start."""
+    versions: dict[str, int] = field(default_factory=dict)
+    """Weight version by model."""
+
+
+@message
+class Announce:
+    """A target's announcement on its way to the leader."""
+
+    record: TargetRecord
+
+
+@message
+class AnnounceAnswer:
+    """The announcement is taken, and every node in touch knows of it."""
+
+    home_address: str
+    """Control address for the target's next announcements."""
+
+
+@message
+class Depart:
+    """A target says that it is gone."""
+
+    target_id: str
+
+
+@message
+class Follow:
+    """Asks for all that is newer; acknowledges what was sent before."""
+
+    node: NodeRecord
+    term: int
+    sequence: int
+    configuration_version: int
+
+
+@message
+class FollowAnswer:
+    """What is newer than a follower's state."""
+
+    term: int
+    sequence: int
+    is_settled: bool
+    """Whether the leader has led for long enough to know every target."""
+    is_full: bool
+    """Whether the targets are all, not just those that changed."""
+    targets: list[TargetRecord]
+    configuration_version: int
+    configuration: bytes
+    """Packed; empty if the follower has this version."""
+    weights: dict[str, int]
+    """Named weight version by model."""
+    members: list[Member]
+    hosts: list[str]
+    """Hosts of nodes that follow."""
+    quarantined: list[str]
+    """Fingerprints of requests that crash targets."""
+
+
+@message
+class PutConfiguration:
+    """An operator's configuration, as it was sent."""
+
+    body: bytes
+
+
+@message
+class ReadConfiguration:
+    """Asks for the newest configuration."""
+
+
+@message
+class ConfigurationText:
+    """The newest configuration, as it was sent."""
+
+    version: int
+    body: bytes
+
+
+@message
+class PutWeights:
+    """Names a new weight version of a model."""
+
+    model: str
+    version: int
+
+
+@message
+class TargetDied:
+    """A target's connection broke while it ran a request."""
+
+    fingerprint: str
+    target_id: str
+    born_ms: int
+
+
+# Commands of the replicated log.
+
+
+@message
+class StoreConfiguration:
+    """Puts a configuration in force unless a newer one is."""
+
+    version: int
+    packed: bytes
+    time_s: float = 0.0
+
+
+@message
+class StoreWeights:
+    """Names a weight version unless a newer one is named."""
+
+    model: str
+    version: int
+    time_s: float = 0.0
--- /dev/null
+++ b/src/laburnumpitch/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translation between the users' platform and the product; decides nothing."""
--- /dev/null
+++ b/src/laburnumpitch/platform/configuration.py
@@ -0,0 +1,237 @@
+"""Reads the operator's configuration and refuses invalid ones."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from ..errors import InvalidConfigurationError
+from ..relay.configuration import (
+    ROUTE_KINDS,
+    EngineSize,
+    Limits,
+    Organisation,
+    Route,
+    RoutingConfiguration,
+    Service,
+    Share,
+    StoreSize,
+)
+
+MS_PER_S = 1000.0
+BYTES_PER_S_PER_MBPS = 125_000.0
+DEFAULT_GAP_MS = 1000.0
+DEFAULT_OBJECTIVE_MS = 1000.0
+
+
+class WireShare(msgspec.Struct):
+    """One service of a split route."""
+
+    service: str
+    weight: float
+
+
+class WireRoute(msgspec.Struct):
+    """A route as the operator writes it."""
+
+    name: str
+    host: str
+    path_prefix: str
+    route_type: str
+    timeout_ms: float
+    target_latency_ms: float = DEFAULT_OBJECTIVE_MS
+    priority: int = 0
+    service: str | None = None
+    split: list[WireShare] | None = None
+    max_attempts: int = 1
+    anonymous: bool = False
+    sticky: bool = False
+    resumable: bool = False
+    gap_target_ms: float = DEFAULT_GAP_MS
+
+
+class WireModel(msgspec.Struct):
+    """A model that engines serve."""
+
+    name: str
+
+
+class WireEngine(msgspec.Struct):
+    """What each engine of a service can hold."""
+
+    slots: int = 1
+    kv_capacity: int = 0
+    kv_bytes: int = 0
+    link_mbps: float = 0.0
+    models: list[WireModel] = []
+
+
+class WireService(msgspec.Struct):
+    """A service; with `kv_store_addr` it is a store."""
+
+    name: str
+    max_connections: int = 0
+    engine: WireEngine | None = None
+    kv_store_addr: str | None = None
+    zone: str = ""
+    kv_capacity: int = 0
+    link_mbps: float = 0.0
+    first_ms: float = 0.0
+    managed: bool = False
+
+
+class WireLimits(msgspec.Struct):
+    """Bounds on clients."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15000
+
+
+class WireTenant(msgspec.Struct):
+    """An organisation."""
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    isolated: bool = False
+
+
+class WireConfiguration(msgspec.Struct):
+    """The whole configuration."""
+
+    version: int
+    routes: list[WireRoute]
+    services: list[WireService]
+    limits: WireLimits = msgspec.field(default_factory=WireLimits)
+    tenants: list[WireTenant] = []
+
+
+_decoder = msgspec.json.Decoder(WireConfiguration, strict=True)
+
+
+def decode_configuration(body: bytes) -> RoutingConfiguration:
+    """Read and check a configuration.
+
+    Raises:
+        InvalidConfigurationError: If it cannot be read in full or breaks a rule.
+    """
+    try:
+        wire = _decoder.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise InvalidConfigurationError(f"cannot be read: {error}") from error
+    check_configuration(wire)
+    return RoutingConfiguration(
+        wire.version,
+        tuple(make_route(route) for route in wire.routes),
+        tuple(make_service(service) for service in wire.services),
+        Limits(
+            wire.limits.max_header_bytes,
+            wire.limits.max_body_bytes,
+            wire.limits.header_timeout_ms / MS_PER_S,
+            wire.limits.idle_timeout_ms / MS_PER_S,
+        ),
+        tuple(
+            Organisation(t.name, tuple(t.api_keys), t.priority, t.isolated)
+            for t in wire.tenants
+        ),
+    )
+
+
+def get_shares(route: WireRoute) -> list[WireShare]:
+    """Return the services of a route with their weights."""
+    if route.split is not None:
+        return route.split
+    return [WireShare(route.service, 1.0)] if route.service is not None else []
+
+
+def check_configuration(wire: WireConfiguration) -> None:
+    """Check what the types leave open.
+
+    Raises:
+        InvalidConfigurationError: With the first rule that is broken.
+    """
+    services = {service.name for service in wire.services}
+    places: set[tuple[str, str]] = set()
+    for route in wire.routes:
+        check_route(route, services)
+        place = (route.host.lower(), route.path_prefix)
+        if place in places:
+            raise InvalidConfigurationError(f"{route.name}: its place is taken")
+        places.add(place)
+    holders: dict[str, str] = {}
+    for tenant in wire.tenants:
+        for key in tenant.api_keys:
+            if holders.setdefault(key, tenant.name) != tenant.name:
+                raise InvalidConfigurationError(f"{tenant.name}: a key is shared")
+
+
+def check_route(route: WireRoute, services: set[str]) -> None:
+    """Check one route.
+
+    Raises:
+        InvalidConfigurationError: With the rule that is broken.
+    """
+    shares = get_shares(route)
+    if route.route_type not in ROUTE_KINDS:
+        raise InvalidConfigurationError(f"{route.name}: unknown kind")
+    if not shares or any(share.service not in services for share in shares):
+        raise InvalidConfigurationError(f"{route.name}: unknown service")
+    if any(share.weight < 0 for share in shares):
+        raise InvalidConfigurationError(f"{route.name}: negative weight")
+    if sum(share.weight for share in shares) <= 0:
+        raise InvalidConfigurationError(f"{route.name}: weights add up to 0")
+    if route.timeout_ms <= 0:
+        raise InvalidConfigurationError(f"{route.name}: no time-out")
+    if not (route.path_prefix.startswith("/") and route.path_prefix.endswith("/")):
+        raise InvalidConfigurationError(f"{route.name}: bad prefix")
+
+
+def make_route(wire: WireRoute) -> Route:
+    """Return the product's route."""
+    return Route(
+        name=wire.name,
+        host=wire.host.lower(),
+        prefix=wire.path_prefix,
+        kind=wire.route_type,
+        timeout_s=wire.timeout_ms / MS_PER_S,
+        objective_s=wire.target_latency_ms / MS_PER_S,
+        rank=wire.priority,
+        shares=tuple(Share(s.service, s.weight) for s in get_shares(wire)),
+        max_targets=max(1, wire.max_attempts),
+        is_anonymous=wire.anonymous,
+        has_context=wire.sticky,
+        is_resumable=wire.resumable,
+        gap_s=wire.gap_target_ms / MS_PER_S,
+    )
+
+
+def make_service(wire: WireService) -> Service:
+    """Return the product's service."""
+    engine = store = None
+    if wire.engine is not None:
+        engine = EngineSize(
+            wire.engine.slots,
+            wire.engine.kv_capacity,
+            wire.engine.kv_bytes,
+            wire.engine.link_mbps * BYTES_PER_S_PER_MBPS,
+            tuple(model.name for model in wire.engine.models),
+        )
+    if wire.kv_store_addr is not None:
+        store = StoreSize(
+            wire.kv_store_addr,
+            wire.zone,
+            wire.kv_capacity,
+            wire.link_mbps * BYTES_PER_S_PER_MBPS,
+            wire.first_ms / MS_PER_S,
+            wire.managed,
+        )
+    return Service(wire.name, wire.max_connections, engine, store)
+
+
+def get_summary(body: bytes) -> dict[str, Any]:
+    """Return the few fields of a configuration that logs name."""
+    wire = _decoder.decode(body)
+    return {"version": wire.version, "routes": len(wire.routes)}
--- /dev/null
+++ b/src/laburnumpitch/platform/settings_file.py
@@ -0,0 +1,124 @@
+"""Reads the settings file that the platform writes for each process."""
+
+from __future__ import annotations
+
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from ..errors import SettingsError
+
+MS_PER_S = 1000.0
+
+
+class WireListen(msgspec.Struct):
+    """Addresses to listen on."""
+
+    frontend: str
+    readiness: str
+    control: str = ""
+
+
+class WireBounds(msgspec.Struct):
+    """Bounds that the rules name."""
+
+    contact_ms: int = 3000
+    drain_ms: int = 2000
+    grace_s: float = 8
+    config_apply_ms: int = 2000
+    retry_budget_ratio: float = 0.2
+    retry_window_s: float = 10
+    retry_slack: float = 50
+    lease_ms: int = 3000
+    fail_closed: bool = False
+
+
+class WireSettings(msgspec.Struct):
+    """The fields that the product needs; others are ignored."""
+
+    node_name: str
+    ip: str
+    zone: str
+    listen: WireListen
+    internal_ports: list[int]
+    seeds: list[str] = []
+    is_bootstrap: bool = False
+    data_dir: str = ""
+    heartbeat_ms: int = 1200
+    bounds: WireBounds = msgspec.field(default_factory=WireBounds)
+
+
+@dataclass(frozen=True)
+class FleetSettings:
+    """What a node of the fleet is told at its start."""
+
+    node_id: str
+    host: str
+    data_centre: str
+    client_address: str
+    ready_address: str
+    control_address: str
+    rpc_port: int
+    metrics_port: int
+    """Second of the free ports; counters and histograms are served there."""
+    seed_hosts: tuple[str, ...]
+    """Hosts of some nodes; their ports are this node's."""
+    is_first_start: bool
+    """Whether the whole system starts for the first time."""
+    data_folder: str
+    """Empty on a node without a disk."""
+    announce_interval_s: float
+    """Interval of the targets' announcements."""
+    contact_s: float
+    drain_s: float
+    grace_s: float
+    """Time between SIGTERM and SIGKILL."""
+    retry_ratio: float
+    """Repeats that the whole fleet may send, as a share of requests."""
+    retry_window_s: float
+    retry_slack: float
+    """Repeats in a window that are allowed besides."""
+    order_lease_s: float
+    """Time that must pass between orders of two holders."""
+
+
+def get_host(address: str) -> str:
+    """Return the host of `host:port`."""
+    return address.rpartition(":")[0]
+
+
+def read_settings(path: str) -> FleetSettings:
+    """Read the settings file.
+
+    Raises:
+        SettingsError: If it is missing or cannot be read.
+    """
+    try:
+        data = tomllib.loads(Path(path).read_text())
+        wire = msgspec.convert(data, WireSettings)
+    except (OSError, ValueError, msgspec.MsgspecError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+    bounds = wire.bounds
+    return FleetSettings(
+        node_id=wire.node_name,
+        host=wire.ip,
+        data_centre=wire.zone,
+        client_address=wire.listen.frontend,
+        ready_address=wire.listen.readiness,
+        control_address=wire.listen.control,
+        rpc_port=wire.internal_ports[0],
+        metrics_port=wire.internal_ports[0] + 1,
+        seed_hosts=tuple(dict.fromkeys(get_host(seed) for seed in wire.seeds)),
+        is_first_start=wire.is_bootstrap,
+        data_folder=wire.data_dir,
+        announce_interval_s=wire.heartbeat_ms / MS_PER_S,
+        contact_s=bounds.contact_ms / MS_PER_S,
+        drain_s=bounds.drain_ms / MS_PER_S,
+        grace_s=float(bounds.grace_s),
+        retry_ratio=bounds.retry_budget_ratio,
+        retry_window_s=bounds.retry_window_s,
+        retry_slack=bounds.retry_slack,
+        order_lease_s=bounds.lease_ms / MS_PER_S,
+    )
--- /dev/null
+++ b/src/laburnumpitch/relay/__init__.py
@@ -0,0 +1,1 @@
+"""The run of requests that are relayed to targets unchanged."""
--- a/src/laburnumpitch/transport/rpc.py
+++ b/src/laburnumpitch/transport/rpc.py
@@ -33,6 +33,9 @@
 HEARTBEAT_TIMEOUT_MS = 1500
 """Silence after which ZeroMQ closes a connection and connects again."""
 
+CONNECT_TIMEOUT_MS = 600
+"""Time to connect; a host that is gone does not answer at all."""
+
 RECONNECT_INTERVAL_MS = 50
 """First pause before connecting again."""
 
@@ -84,6 +87,7 @@
     socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
     socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
     socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+    socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
     socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_INTERVAL_MS)
     socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_INTERVAL_MAX_MS)
 
--- /dev/null
+++ b/tests/harness/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the harness itself."""
--- /dev/null
+++ b/tests/harness/test_start.py
@@ -0,0 +1,54 @@
+"""Ports of clusters, and starts that cannot succeed."""
+
+from __future__ import annotations
+
+import tempfile
+from pathlib import Path
+
+import testtools
+
+from harness import ports
+from harness.process import Process, ProcessEndedError
+
+
+class PortsTest(testtools.TestCase):
+    """A block with few ports left."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.patch(ports, "BLOCK_PORTS", 4)
+        self.patch(ports, "BLOCKS", 50)
+        self.patch(ports, "FIRST_PORT", 14000)
+        self.patch(ports, "_blocks", [])
+        self.patch(ports, "_lent", set())
+        self.addCleanup(self.close_guards)
+
+    def close_guards(self) -> None:
+        """Free the blocks that the test claimed."""
+        for block in ports._blocks:
+            block.guard.close()
+
+    def test_no_port_twice(self) -> None:
+        """A port that was lent and is not listened on yet is not lent again."""
+        taken = [ports.take_port() for _ in range(12)]
+        self.assertEqual(len(taken), len(set(taken)))
+
+    def test_returned_port_is_lent_again(self) -> None:
+        """A cluster's ports serve the next cluster."""
+        taken = {ports.take_port() for _ in range(3)}
+        ports.return_ports(taken)
+        self.assertEqual(taken, {ports.take_port() for _ in range(3)})
+
+
+class EndedProcessTest(testtools.TestCase):
+    """A process that ends while something waits for it."""
+
+    def test_last_lines_are_told(self) -> None:
+        """The failure has what the process wrote last."""
+        with tempfile.TemporaryDirectory() as folder:
+            code = "import sys; sys.exit('no such address')"
+            process = Process("ended", ["-c", code], Path(folder))
+            process.start()
+            process.wait_exit()
+            error = self.assertRaises(ProcessEndedError, process.check_running)
+            self.assertIn("no such address", str(error))
