--- a/harness/caller.py
+++ b/harness/caller.py
@@ -8,7 +8,11 @@
 import msgspec
 
 from laburnumpitch.errors import LaburnumpitchError, TargetError
-from laburnumpitch.transport.http_client import HttpClient, HttpClientPool
+from laburnumpitch.transport.http_client import (
+    MAX_IDLE_S,
+    HttpClient,
+    HttpClientPool,
+)
 from standins.kv import get_expected_answer
 
 from .deployment import Deployment, get_api_key
@@ -88,7 +92,7 @@
                 msgspec.json.encode(body),
                 first_byte_timeout_s=ANSWER_TIMEOUT_S,
                 gap_timeout_s=30.0,
-                must_be_fresh=self.http is None,
+                max_idle_s=0.0 if self.http is None else MAX_IDLE_S,
             )
             answer.status = response.status
             try:
@@ -179,7 +183,7 @@
                 ],
                 msgspec.json.encode(body) if body is not None else b"",
                 first_byte_timeout_s=ANSWER_TIMEOUT_S,
-                must_be_fresh=self.http is None,
+                max_idle_s=0.0 if self.http is None else MAX_IDLE_S,
             )
             answer.status = response.status
             answer.body = await response.read()
--- a/harness/fault_proxy.py
+++ b/harness/fault_proxy.py
@@ -102,9 +102,7 @@
         async def accept(reader, writer) -> None:
             await self.serve(link, reader, writer)
 
-        server = await asyncio.start_server(
-            accept, "127.0.0.1", link.port, backlog=512
-        )
+        server = await asyncio.start_server(accept, "127.0.0.1", link.port, backlog=512)
         self.servers.append(server)
 
     async def serve(
--- a/src/laburnumpitch/cli.py
+++ b/src/laburnumpitch/cli.py
@@ -4,16 +4,15 @@
 
 import argparse
 import asyncio
-import signal
 import sys
 from pathlib import Path
 
 from . import __version__
 from .control.document import parse_document
 from .errors import LaburnumpitchError, SettingsError
-from .logging import configure_logging, get_logger
-from .node import Node, initialise_folder
+from .logging import configure_logging
 from .operator_commands import add_operator_commands
+from .serving import serve_until_stopped
 from .settings import (
     CONTROL,
     INIT_SETTINGS,
@@ -93,41 +92,21 @@
 
 def run_node(namespace: argparse.Namespace) -> int:
     """Run a node until it is told to stop."""
+    from .node import Node
+
     check_node_settings(namespace)
     stream = configure_logging(namespace.node_id, namespace.log_file)
     try:
-        return asyncio.run(serve(namespace))
+        return asyncio.run(serve_until_stopped(lambda: Node(namespace)))
     finally:
         if stream is not sys.stderr:
             stream.close()
 
 
-async def serve(namespace: argparse.Namespace) -> int:
-    """Run a node; the first signal drains it, the second one ends it."""
-    node = Node(namespace)
-    stop = asyncio.Event()
-    stop_now = asyncio.Event()
-
-    def on_signal() -> None:
-        (stop_now if stop.is_set() else stop).set()
-
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, on_signal)
-    await node.start()
-    await stop.wait()
-    get_logger().info("stop_requested")
-    draining = asyncio.create_task(node.drain())
-    forcing = asyncio.create_task(stop_now.wait())
-    await asyncio.wait({draining, forcing}, return_when=asyncio.FIRST_COMPLETED)
-    draining.cancel()
-    forcing.cancel()
-    await node.close()
-    return 0
-
-
 def run_init(namespace: argparse.Namespace) -> int:
     """Prepare a data folder."""
+    from .node import initialise_folder
+
     check_settings(namespace.parser, namespace, INIT_SETTINGS)
     initialise_folder(
         Path(namespace.data_folder),
--- a/src/laburnumpitch/entry/service_run.py
+++ b/src/laburnumpitch/entry/service_run.py
@@ -35,7 +35,7 @@
 from ..logging import get_logger
 from ..membership.messages import TargetInfo
 from ..statechart import StateChart, StateMachine
-from ..transport.http_client import HOP_HEADERS
+from ..transport.http_client import HOP_HEADERS, MAX_IDLE_S
 from ..transport.http_server import Headers
 from .services import EntryServices
 
@@ -379,7 +379,7 @@
             headers,
             self.call.body,
             first_byte_timeout_s=max(1.0, self.deadline_s - time.monotonic()),
-            must_be_fresh=not self.is_idempotent,
+            max_idle_s=MAX_IDLE_S if self.is_idempotent else 0.0,
         )
         body = await answer.read()
         passed = [
--- a/src/laburnumpitch/fleet/follower.py
+++ b/src/laburnumpitch/fleet/follower.py
@@ -114,9 +114,7 @@
         if answer.term > self.term:
             self.named = set()
         if self.is_lost or answer.term > self.term:
-            self.log.info(
-                "leader_found", leader=self.leader.leader, term=answer.term
-            )
+            self.log.info("leader_found", leader=self.leader.leader, term=answer.term)
         self.is_lost = False
         self.heard_s = now_s
         self.term, self.sequence = answer.term, answer.sequence
--- a/src/laburnumpitch/fleet/founding.py
+++ b/src/laburnumpitch/fleet/founding.py
@@ -132,7 +132,9 @@
         """Name the first voters."""
         cluster_id = uuid.uuid4().hex[:8]
         members = [
-            Member(make_first_replica_id(host, cluster_id), host, node.rpc_address, True)
+            Member(
+                make_first_replica_id(host, cluster_id), host, node.rpc_address, True
+            )
             for host, node in sorted(self.gathered.items())
         ]
         self.take(cluster_id, members)
--- a/src/laburnumpitch/fleet/leader_client.py
+++ b/src/laburnumpitch/fleet/leader_client.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 
+from ..errors import NotLeaderError
 from ..membership.control_client import ControlClient
 from ..transport.rpc import RpcPool
 
@@ -31,6 +32,8 @@
         """Choose the host to ask next; a hint may name a new one."""
         if self.leader != asked:
             return
+        if hint == NotLeaderError.code:
+            hint = ""
         if hint and hint not in self.addresses:
             self.set_hosts([*self.names, hint])
         if asked not in self.addresses:
--- a/src/laburnumpitch/fleet/leader_service.py
+++ b/src/laburnumpitch/fleet/leader_service.py
@@ -216,7 +216,9 @@
         members = replica.core.members
         own = [m for m in members if m.replica_id == call.replica_id]
         lost = [
-            m for m in members if m.name == call.host and m.replica_id != call.replica_id
+            m
+            for m in members
+            if m.name == call.host and m.replica_id != call.replica_id
         ]
         if not own:
             learner = Member(call.replica_id, call.host, call.address, False)
@@ -230,9 +232,7 @@
                 await replica.propose_members(rest)
             elif len(replica.core.voters) < MAX_VOTERS:
                 rest = [member for member in members if member not in own]
-                await replica.propose_members(
-                    [*rest, replace(own[0], is_voter=True)]
-                )
+                await replica.propose_members([*rest, replace(own[0], is_voter=True)])
         return JoinCoreAnswer(False)
 
     def find_silent_voters(self, replica: Replica) -> list[Member]:
--- /dev/null
+++ b/src/laburnumpitch/fleet_node.py
@@ -0,0 +1,274 @@
+"""One process of a fleet: every node relays, and those with a disk vote."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from pathlib import Path
+
+import zmq.asyncio
+
+from .clock_sources import get_steady_s
+from .errors import SettingsError
+from .fleet.core import Core
+from .fleet.follower import Follower
+from .fleet.founding import Founding
+from .fleet.leader_client import LeaderClient
+from .fleet.leader_service import LeaderService
+from .fleet.messages import Hello, NodeRecord
+from .logging import get_logger
+from .metrics import Metrics
+from .metrics_server import make_metrics_server
+from .platform.configuration import decode_configuration
+from .platform.control_api import ControlApi, ReadyApi
+from .platform.http_headers import HeaderTranslator
+from .platform.settings_file import FleetSettings, read_settings
+from .relay.board import TargetBoard
+from .relay.dispatcher import Dispatcher
+from .relay.relay_api import RelayApi
+from .relay.retry_share import RetryShare
+from .relay.services import RelayServices
+from .transport.http_server import HttpServer, ServerLimits
+from .transport.rpc import RpcPool, RpcServer
+
+LISTEN_DRAIN_S = 2.6
+"""Time after a stop is asked for in which clients may still connect; the balancer
+takes a node out after two checks, a second apart."""
+
+DRAIN_RESERVE_S = 0.8
+"""Time before the forced end at which what still runs is given up."""
+
+DRAIN_POLL_S = 0.05
+"""Interval of looking whether requests are still in flight."""
+
+SEED_CHECK_S = 1.0
+"""Interval of looking whether the leader is lost, to ask the seeds again."""
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class FleetNode:
+    """One process of a fleet.
+
+    Args:
+        settings: What the process was told at its start.
+    """
+
+    def __init__(self, settings: FleetSettings) -> None:
+        self.settings = settings
+        self.log = get_logger()
+        self.metrics = Metrics()
+        self.is_stopping = False
+        self.seeds = settings.seed_hosts
+        rpc_address = f"{settings.host}:{settings.rpc_port}"
+        self.node = NodeRecord(
+            settings.host,
+            settings.node_id,
+            rpc_address,
+            settings.control_address,
+            settings.data_centre,
+            bool(settings.data_folder),
+        )
+        self.context = zmq.asyncio.Context()
+        self.pool = RpcPool(self.context)
+        self.rpc = RpcServer(self.context, settings.host, settings.rpc_port)
+        self.leader = LeaderClient(
+            self.pool, settings.seed_hosts or (settings.host,), settings.rpc_port
+        )
+        self.founding = Founding(
+            self.node,
+            settings.seed_hosts,
+            settings.is_first_start,
+            self.pool,
+            settings.rpc_port,
+            get_steady_s,
+        )
+        self.follower = Follower(
+            self.node,
+            self.leader,
+            decode_configuration,
+            settings.announce_interval_s,
+            get_steady_s,
+        )
+        self.core = self.make_core()
+        self.leader_service = LeaderService(
+            self.core,
+            self.get_leader_hint,
+            settings.control_address,
+            decode_configuration,
+        )
+        self.make_relay()
+        self.make_servers()
+
+    def make_core(self) -> Core | None:
+        """Return the replica of a node that has a disk."""
+        if not self.settings.data_folder:
+            return None
+        return Core(
+            self.node,
+            Path(self.settings.data_folder),
+            self.pool,
+            self.founding,
+            self.leader,
+            self.metrics,
+            self.settings.announce_interval_s,
+            get_steady_s,
+        )
+
+    def make_relay(self) -> None:
+        """Make the parts that serve clients."""
+        settings = self.settings
+        source = random.Random()
+        board = TargetBoard(time.monotonic)
+        dispatcher = Dispatcher(self.follower, board, time.monotonic, source)
+        retry_share = RetryShare(
+            settings.retry_ratio,
+            settings.retry_slack,
+            settings.retry_window_s,
+            lambda: self.follower.node_count,
+            time.monotonic,
+        )
+        self.services = RelayServices(
+            self.follower,
+            dispatcher,
+            board,
+            HeaderTranslator(),
+            retry_share,
+            self.leader,
+            self.metrics,
+            time.monotonic,
+        )
+        self.relay = RelayApi(self.services, source)
+
+    def make_servers(self) -> None:
+        """Make the servers for clients, the platform and operators."""
+        settings = self.settings
+        control = ControlApi(self.leader)
+        ready = ReadyApi(self.is_ready)
+        self.client_server = HttpServer(
+            *split_address(settings.client_address), self.relay.handle
+        )
+        self.control_server = HttpServer(
+            *split_address(settings.control_address), control.handle
+        )
+        self.ready_server = HttpServer(
+            *split_address(settings.ready_address), ready.handle
+        )
+        self.metrics_server = make_metrics_server(
+            settings.host, settings.metrics_port, self.metrics
+        )
+        self.servers = [
+            self.client_server,
+            self.control_server,
+            self.ready_server,
+            self.metrics_server,
+        ]
+
+    async def start(self) -> None:
+        """Start every part."""
+        settings = self.settings
+        self.log.info(
+            "node_starting",
+            host=settings.host,
+            data_centre=settings.data_centre,
+            first_start=settings.is_first_start,
+            has_disk=self.node.has_disk,
+            seeds=",".join(settings.seed_hosts),
+        )
+        self.rpc.on(Hello, self.founding.on_hello)
+        self.leader_service.register(self.rpc)
+        await self.rpc.start()
+        if self.core is not None:
+            await self.core.start()
+            self.follower.on_change.append(self.check_members)
+        self.follower.on_change.append(self.set_limits)
+        await self.follower.start()
+        self.joining = asyncio.create_task(self.join())
+        for server in self.servers:
+            await server.start()
+        self.log.info("node_started", node=settings.node_id)
+
+    async def join(self) -> None:
+        """Find the cluster; ask the seeds again whenever the leader is lost."""
+        await self.founding.join(lambda: self.follower.is_in_touch)
+        self.leader.set_hosts(
+            [*self.leader.names, *(member.name for member in self.founding.members)]
+        )
+        while True:
+            await asyncio.sleep(SEED_CHECK_S)
+            if not self.follower.is_in_touch:
+                self.leader.set_hosts(
+                    [*self.seeds, *self.leader.names, *self.follower.hosts]
+                )
+
+    def get_leader_hint(self) -> str:
+        """Return the host of the leader as far as this node knows."""
+        core = self.core
+        if core is not None and core.replica is not None:
+            hint = core.replica.get_leader_name()
+            if hint:
+                return hint
+        return self.leader.leader if self.follower.is_in_touch else ""
+
+    def check_members(self) -> None:
+        """Begin anew if this node's replica was replaced."""
+        members = self.follower.members
+        self.member_check = asyncio.create_task(self.core.check_members(members))
+
+    def set_limits(self) -> None:
+        """Put the bounds on clients in force."""
+        configuration = self.follower.configuration
+        if configuration is not None:
+            limits = configuration.limits
+            self.client_server.limits = ServerLimits(
+                limits.header_bytes,
+                limits.body_bytes,
+                limits.header_timeout_s,
+                limits.idle_timeout_s,
+            )
+
+    def is_ready(self) -> bool:
+        """Whether this node takes new clients."""
+        return self.follower.configuration is not None and not self.is_stopping
+
+    def reload(self, path: str) -> None:
+        """Take seeds that have changed in the settings file."""
+        try:
+            seeds = read_settings(path).seed_hosts
+        except SettingsError as error:
+            self.log.error("reload_failed", detail=error.detail)
+            return
+        self.seeds = seeds
+        self.log.info("settings_reloaded", seeds=",".join(seeds))
+
+    async def drain(self) -> None:
+        """Say that this node is leaving, and finish what it has."""
+        grace_s = self.settings.grace_s - DRAIN_RESERVE_S
+        ends_s = time.monotonic() + grace_s
+        self.is_stopping = True
+        self.client_server.is_draining = True
+        self.log.info("node_draining", busy=self.client_server.busy)
+        await asyncio.sleep(min(LISTEN_DRAIN_S, grace_s))
+        self.client_server.stop_accepting()
+        while self.client_server.connections and time.monotonic() < ends_s:
+            await asyncio.sleep(DRAIN_POLL_S)
+        self.log.info("node_drained", busy=self.client_server.busy)
+
+    async def close(self) -> None:
+        """Stop every part."""
+        self.joining.cancel()
+        for server in self.servers:
+            await server.close()
+        await self.follower.close()
+        if self.core is not None:
+            await self.core.close()
+        self.services.close()
+        await self.rpc.close()
+        self.pool.close()
+        self.context.term()
+        self.log.info("node_stopped", node=self.settings.node_id)
--- a/src/laburnumpitch/logging.py
+++ b/src/laburnumpitch/logging.py
@@ -22,17 +22,22 @@
     return event
 
 
-def configure_logging(node_id: str, path: str = "") -> TextIO:
+def configure_logging(
+    node_id: str, path: str = "", stream: TextIO | None = None
+) -> TextIO:
     """Send every event of this process to one file or to standard error.
 
     Args:
         node_id: Identifier of this process, on each line.
-        path: File to append to; standard error if empty.
+        path: File to append to; `stream` if empty.
+        stream: Where lines go without a file; standard error by default.
 
     Returns:
         The open file, which the caller closes last.
     """
-    stream = open(path, "a", buffering=1) if path else sys.stderr
+    if path:
+        stream = open(path, "a", buffering=1)
+    stream = stream or sys.stderr
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
--- a/src/laburnumpitch/metrics.py
+++ b/src/laburnumpitch/metrics.py
@@ -1,10 +1,22 @@
-"""Metrics over statsd, with a table of every name and unit."""
+"""Counters, gauges and latency histograms, with a table of every name and unit."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
-import statsd
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+PREFIX = "laburnumpitch_"
+"""First part of every name that is served."""
+
+BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0)
+"""Upper ends of a histogram's buckets."""
 
 
 @dataclass(frozen=True)
@@ -12,7 +24,7 @@
     """A documented metric."""
 
     name: str
-    """Name below the prefix."""
+    """Name; it is served with the prefix, and with `_` for each dot."""
     kind: str
     """`counter`, `gauge` or `timing`."""
     unit: str
@@ -29,7 +41,8 @@
     Metric("request.unknown", "counter", "requests", "Outcomes reported as unknown."),
     Metric("request.retried", "counter", "attempts", "Attempts after the first."),
     Metric("request.resumed", "counter", "streams", "Broken streams resumed."),
-    Metric("request.first_token", "timing", "ms", "Time to first token."),
+    Metric("request.first_token", "timing", "s", "Time to first token."),
+    Metric("request.duration", "timing", "s", "Arrival to a whole answer."),
     Metric("request.inflight", "gauge", "requests", "Requests in flight."),
     Metric("request.queued", "gauge", "requests", "Requests waiting for admission."),
     Metric("context.recomputed", "counter", "tokens", "Context tokens recomputed."),
@@ -40,47 +53,58 @@
     Metric("directory.entries", "gauge", "entries", "Entries in this node's shards."),
     Metric("lease.lost", "counter", "events", "Times the control lease ran out."),
     Metric("config.revision", "gauge", "revision", "Revision in force on this node."),
-    Metric("control.commit", "timing", "ms", "Proposal to commit."),
+    Metric("control.commit", "timing", "s", "Proposal to commit."),
     Metric("control.leader", "gauge", "0 or 1", "Whether this replica leads."),
     Metric("control.log_entries", "gauge", "entries", "Entries after the snapshot."),
     Metric("quarantine.fingerprints", "gauge", "fingerprints", "Quarantined requests."),
 )
-"""Every metric that the program sends."""
+"""Every metric that the program keeps."""
 
-METRIC_NAMES = frozenset(metric.name for metric in METRICS)
 
+METRICS_BY_NAME = {metric.name: metric for metric in METRICS}
 
-class Metrics:
-    """Sends metrics to a statsd server, or nowhere if none is set.
+Collector = Counter | Gauge | Histogram
 
-    Args:
-        host: Address of the statsd server; empty turns metrics off.
-        port: UDP port of the statsd server.
-        prefix: First part of every name.
-    """
 
-    def __init__(self, host: str = "", port: int = 8125, prefix: str = "") -> None:
-        self.client = statsd.StatsClient(host, port, prefix=prefix) if host else None
+class Metrics:
+    """Keeps the process's measurements for whoever fetches them."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.collectors: dict[str, Collector] = {}
+
+    def get(self, name: str) -> Collector:
+        """Return what collects a metric, made on first use."""
+        collector = self.collectors.get(name)
+        if collector is None:
+            metric = METRICS_BY_NAME[name]
+            wire_name = PREFIX + name.replace(".", "_")
+            if metric.kind == "counter":
+                collector = Counter(wire_name, metric.help, registry=self.registry)
+            elif metric.kind == "gauge":
+                collector = Gauge(wire_name, metric.help, registry=self.registry)
+            else:
+                collector = Histogram(
+                    f"{wire_name}_seconds",
+                    metric.help,
+                    registry=self.registry,
+                    buckets=BUCKETS_S,
+                )
+            self.collectors[name] = collector
+        return collector
 
     def count(self, name: str, value: int = 1) -> None:
         """Add to a counter."""
-        assert name in METRIC_NAMES, name
-        if self.client is not None:
-            self.client.incr(name, value)
+        self.get(name).inc(value)
 
     def set_gauge(self, name: str, value: float) -> None:
         """Set a gauge."""
-        assert name in METRIC_NAMES, name
-        if self.client is not None:
-            self.client.gauge(name, value)
+        self.get(name).set(value)
 
     def time(self, name: str, duration_s: float) -> None:
-        """Record a duration, given in seconds and sent in milliseconds."""
-        assert name in METRIC_NAMES, name
-        if self.client is not None:
-            self.client.timing(name, duration_s * 1000)
-
-    def close(self) -> None:
-        """Close the socket to the statsd server."""
-        if self.client is not None:
-            self.client.close()
+        """Record a duration in seconds."""
+        self.get(name).observe(duration_s)
+
+    def render(self) -> bytes:
+        """Return all measurements in the text format that is usual for them."""
+        return generate_latest(self.registry)
--- a/src/laburnumpitch/node.py
+++ b/src/laburnumpitch/node.py
@@ -55,6 +55,7 @@
 )
 from .membership.session import Session
 from .metrics import Metrics
+from .metrics_server import make_metrics_server
 from .policy.choose import POLICIES
 from .settings import CONTROL, ENTRY
 from .transport.http_client import HttpClientPool
@@ -78,11 +79,8 @@
     def __init__(self, settings: Namespace) -> None:
         self.settings = settings
         self.log = get_logger()
-        self.metrics = Metrics(
-            settings.statsd_host,
-            settings.statsd_port,
-            f"laburnumpitch.{settings.node_id}",
-        )
+        self.metrics = Metrics()
+        self.metrics_server: HttpServer | None = None
         self.control_part: ControlPart | None = None
         self.entry_part: EntryPart | None = None
 
@@ -97,6 +95,11 @@
         self.pool = RpcPool(self.context)
         self.server = RpcServer(self.context, settings.host, settings.rpc_port)
         self.server.on(ReportTraffic, self.on_report_traffic)
+        if settings.metrics_port:
+            self.metrics_server = make_metrics_server(
+                settings.host, settings.metrics_port, self.metrics
+            )
+            await self.metrics_server.start()
         try:
             await self.server.start()
         except zmq.ZMQError as error:
@@ -135,7 +138,8 @@
         self.pool.close()
         self.context.term()
         self.log.info("node_closed")
-        self.metrics.close()
+        if self.metrics_server is not None:
+            await self.metrics_server.close()
 
     async def on_report_traffic(self, call: ReportTraffic) -> TrafficReport:
         """Return this process's counters."""
--- /dev/null
+++ b/src/laburnumpitch/platform/http_headers.py
@@ -0,0 +1,190 @@
+"""The platform's headers on requests to targets and on their answers."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from ..errors import MalformedRequestError
+from ..relay.request import (
+    Admitted,
+    AnswerFacts,
+    ContextPlan,
+    PromptPiece,
+    RequestFacts,
+    Sending,
+)
+from ..transport.http_client import HOP_HEADERS
+from ..transport.http_server import Headers, HttpRequest
+
+MS_PER_S = 1000.0
+
+ATTEMPT_ID = "attempt-id"
+"""Identifier of one attempt of a client, not of the request over its retries."""
+AUTHORIZATION = "authorization"
+BEARER = "bearer "
+CACHE_SALT = "cache-salt"
+DEADLINE_MS = "deadline-ms"
+"""Time left, not a point in time."""
+EXPECT_INSTANCE = "expect-instance"
+EXPECT_VERSION = "expect-version"
+INSTANCE_ID = "instance-id"
+KV_SOURCE = "kv-source"
+KV_TARGET = "kv-target"
+KV_UNTIL = "kv-until"
+LAST_EVENT_ID = "last-event-id"
+MODEL = "model"
+NOT_EXECUTED = "not-executed"
+PREFIX_HASH = "prefix-hash"
+"""All parts of the prompt, not a hash of its prefix."""
+REQUEST_PRIORITY = "request-priority"
+RETRY_AFTER = "retry-after"
+SERVER_SEAL = "server-seal"
+TENANT = "tenant"
+TOKEN_USAGE = "token-usage"
+"""Tokens in and the most tokens out, not what was used."""
+WEIGHT_VERSIONS = "weight-versions"
+
+SYSTEM_PREFIXES = ("kv-", "pin-", "expect")
+SYSTEM_HEADERS = frozenset(
+    (
+        CACHE_SALT,
+        DEADLINE_MS,
+        REQUEST_PRIORITY,
+        TENANT,
+        "keep-alive",
+        "proxy-connection",
+    )
+)
+"""Headers that only the system sets, whatever a client sends."""
+
+MISDIRECTED = 421
+MAX_URGENCY = 9
+NO_STORE = "-"
+
+
+def get_first(headers: Iterable[tuple[str, str]], name: str) -> str:
+    """Return the first header of a name, or an empty string."""
+    for known, value in headers:
+        if known == name:
+            return value
+    return ""
+
+
+def parse_pieces(text: str) -> tuple[PromptPiece, ...]:
+    """Read the parts of a prompt.
+
+    Raises:
+        ValueError: If an entry is not ID:TOKENS.
+    """
+    pieces = []
+    for entry in filter(None, (part.strip() for part in text.split(","))):
+        piece_id, _, tokens = entry.partition(":")
+        pieces.append(PromptPiece(piece_id, int(tokens)))
+    return tuple(pieces)
+
+
+class HeaderTranslator:
+    """Reads and writes the platform's headers."""
+
+    def read_request(self, request: HttpRequest) -> RequestFacts:
+        """Return what a client said.
+
+        Raises:
+            MalformedRequestError: If a header cannot be read.
+        """
+        headers = dict(reversed(request.headers))
+        credentials = headers.get(AUTHORIZATION, "")
+        is_bearer = credentials.lower().startswith(BEARER)
+        try:
+            patience = headers.get(DEADLINE_MS)
+            usage = [int(n) for n in headers.get(TOKEN_USAGE, "0,0").split(",")]
+            pieces = parse_pieces(headers.get(PREFIX_HASH, ""))
+            patience_s = float(patience) / MS_PER_S if patience else None
+        except ValueError as error:
+            raise MalformedRequestError(str(error)) from error
+        return RequestFacts(
+            request_id=headers.get(ATTEMPT_ID, ""),
+            host=headers.get("host", "").partition(":")[0].lower(),
+            key=credentials[len(BEARER) :].strip() if is_bearer else "",
+            patience_s=patience_s,
+            model=headers.get(MODEL, ""),
+            prompt_tokens=usage[0],
+            output_tokens=usage[1] if len(usage) > 1 else 0,
+            pieces=pieces,
+            last_event_id=headers.get(LAST_EVENT_ID, ""),
+        )
+
+    def get_request_id(self, request: HttpRequest) -> str:
+        """Return the identifier of the client's attempt."""
+        return request.get_header(ATTEMPT_ID)
+
+    def make_headers(self, admitted: Admitted, sending: Sending) -> Headers:
+        """Return the headers for a target."""
+        named = get_first(admitted.request.headers, "connection").lower()
+        dropped = {part.strip() for part in named.split(",")}
+        if sending.drops_key:
+            dropped.add(AUTHORIZATION)
+        if sending.resume_after:
+            dropped.add(LAST_EVENT_ID)
+        headers = [
+            (name, value)
+            for name, value in admitted.request.headers
+            if name not in HOP_HEADERS
+            and name not in SYSTEM_HEADERS
+            and name not in dropped
+            and not name.startswith(SYSTEM_PREFIXES)
+        ]
+        remaining_ms = max(1, int(sending.remaining_s * MS_PER_S))
+        headers.append((DEADLINE_MS, str(remaining_ms)))
+        headers.append((EXPECT_INSTANCE, sending.target.target_id))
+        headers.append((REQUEST_PRIORITY, str(min(MAX_URGENCY, sending.rank))))
+        if sending.organisation:
+            headers.append((TENANT, sending.organisation))
+        if sending.weight_version is not None:
+            headers.append((EXPECT_VERSION, str(sending.weight_version)))
+        if sending.context is not None:
+            headers += make_context_headers(sending.context)
+        if sending.resume_after:
+            headers.append((LAST_EVENT_ID, sending.resume_after))
+        return headers
+
+    def read_answer(self, status: int, headers: Headers) -> AnswerFacts:
+        """Return what a target said."""
+        found = dict(headers)
+        version = found.get(WEIGHT_VERSIONS, "")
+        return AnswerFacts(
+            request_id=found.get(ATTEMPT_ID, ""),
+            is_not_run=NOT_EXECUTED in found or status == MISDIRECTED,
+            is_misdirected=status == MISDIRECTED,
+            instance_id=found.get(INSTANCE_ID, ""),
+            is_sealed=SERVER_SEAL in found,
+            is_encoded=found.get("content-encoding", "identity") != "identity",
+            weight_version=int(version) if version.isdecimal() else None,
+        )
+
+    def make_answer_headers(self, headers: Headers) -> Headers:
+        """Return a target's headers for the client."""
+        return [item for item in headers if item[0] not in HOP_HEADERS]
+
+    def make_refusal_headers(
+        self, request_id: str, retry_after_s: float | None
+    ) -> Headers:
+        """Return the headers of an answer of the system's own."""
+        headers = [("content-type", "text/plain")]
+        if request_id:
+            headers.append((ATTEMPT_ID, request_id))
+        if retry_after_s is not None:
+            headers.append((RETRY_AFTER, f"{retry_after_s:.3f}"))
+        return headers
+
+
+def make_context_headers(plan: ContextPlan) -> Headers:
+    """Return the headers that tell a target of kept context."""
+    headers = [(CACHE_SALT, plan.salt)]
+    for name, addresses in ((KV_SOURCE, plan.sources), (KV_TARGET, plan.destinations)):
+        if any(addresses):
+            texts = (address or NO_STORE for address in addresses)
+            headers.append((name, ",".join(texts)))
+    if plan.read_until_ms and any(plan.sources):
+        headers.append((KV_UNTIL, str(plan.read_until_ms)))
+    return headers
--- /dev/null
+++ b/src/laburnumpitch/policy/placement.py
@@ -0,0 +1,113 @@
+"""Chooses a target for a relayed request by the time that it would take there.
+
+Answers steady load with returning prompts: related requests go to one target, by
+rendezvous hashing that every node computes alike, as long as reading their context
+again elsewhere takes longer than waiting there.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+READ_TOKENS_PER_S = 120_000.0
+"""Prompt tokens that an engine reads in a second, the slowest engine's sheet."""
+
+SILENT_COST_S = 0.15
+"""Cost of a target that has stopped announcing itself; it may still serve."""
+
+FAILING_COST_S = 1.0
+"""Cost of a target that fails every request."""
+
+SUSPECT_COST_S = 5.0
+"""Cost of a target that failed right now; taken only if there is no other."""
+
+WRONG_VERSION_COST_S = 0.5
+"""Cost of weights that are older than the named ones."""
+
+REMOTE_COST_S = 0.001
+"""Cost of another data centre: two ways between them."""
+
+
+@dataclass(frozen=True)
+class Candidate:
+    """A target as this node sees it."""
+
+    target_id: str
+    slots: int
+    running: int
+    """Requests of this node that the target has."""
+    unread_tokens: int
+    """Prompt tokens of this node's requests that wait for their first event."""
+    service_s: float
+    """Usual time of a request there."""
+    failure_rate: float
+    """Share of failed requests lately."""
+    is_suspect: bool
+    is_silent: bool
+    is_outdated: bool
+    """Whether its weights are older than the named ones."""
+    is_remote: bool
+    cold_s: float = 0.0
+
+
+def rank_by_hash(key: str, target_ids: Sequence[str]) -> list[str]:
+    """Return targets in the key's own order, the same on every node."""
+
+    def weigh(target_id: str) -> bytes:
+        text = f"{key}\x00{target_id}".encode()
+        return hashlib.blake2b(text, digest_size=8).digest()
+
+    return sorted(target_ids, key=weigh)
+
+
+def estimate_s(candidate: Candidate, node_count: int) -> float:
+    """Return the expected wait at a target, without reading the prompt.
+
+    The other nodes are taken to send as much as this one beyond what a target
+    serves at once.
+    """
+    wait_s = candidate.unread_tokens / READ_TOKENS_PER_S
+    share = max(1.0, candidate.slots / node_count)
+    excess = max(0.0, candidate.running + 1 - share)
+    wait_s += excess * candidate.service_s / share
+    wait_s += candidate.running / candidate.slots * candidate.service_s
+    wait_s += candidate.failure_rate * FAILING_COST_S
+    wait_s += min(candidate.cold_s, 1.0)
+    wait_s += SUSPECT_COST_S * candidate.is_suspect
+    wait_s += SILENT_COST_S * candidate.is_silent
+    wait_s += WRONG_VERSION_COST_S * candidate.is_outdated
+    return wait_s + REMOTE_COST_S * candidate.is_remote
+
+
+def choose_target(
+    candidates: Sequence[Candidate],
+    affinity_key: str,
+    shared_tokens: int,
+    node_count: int,
+    tie_breaks: Sequence[float],
+) -> Candidate | None:
+    """Return the candidate with the least expected time, or None.
+
+    Args:
+        candidates: Targets that may serve the request.
+        affinity_key: Name of the context that related requests share.
+        shared_tokens: Tokens of that context.
+        node_count: Nodes that send requests.
+        tie_breaks: A random number from 0 to 1 for each candidate.
+    """
+    if not candidates:
+        return None
+    home = ""
+    if affinity_key:
+        ids = [item.target_id for item in candidates if not item.is_suspect]
+        home = rank_by_hash(affinity_key, ids)[0] if ids else ""
+    read_s = shared_tokens / READ_TOKENS_PER_S
+
+    def get_cost(pair: tuple[Candidate, float]) -> tuple[float, float]:
+        candidate, tie_break = pair
+        cost = estimate_s(candidate, node_count)
+        return (cost + (0.0 if candidate.target_id == home else read_s), tie_break)
+
+    return min(zip(candidates, tie_breaks, strict=True), key=get_cost)[0]
--- /dev/null
+++ b/src/laburnumpitch/relay/dispatcher.py
@@ -0,0 +1,225 @@
+"""Gives each request a target, or a place in the queue of this node."""
+
+from __future__ import annotations
+
+import asyncio
+import bisect
+import itertools
+import math
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ..errors import NoTargetError, OverloadedError
+from ..fleet.follower import Follower
+from ..fleet.messages import TargetRecord
+from ..policy.placement import Candidate, choose_target
+from .board import Seen, TargetBoard
+from .request import Admitted
+
+MAX_WAIT_OBJECTIVES = 0.6
+"""Longest wait for a place, in objectives; what waits longer is late anyway."""
+
+SHARE_FACTOR = 2.0
+"""What a node may use of a target beyond an even share over the nodes, since
+clients are spread unevenly."""
+
+MIN_RUNNING = 2
+"""Requests that a node may always have at a target."""
+
+
+@dataclass(order=True)
+class Waiter:
+    """A request that waits for a place."""
+
+    rank: int
+    due_s: float
+    number: int
+    admitted: Admitted = field(compare=False)
+    excluded: frozenset[str] = field(compare=False)
+    future: asyncio.Future[TargetRecord] = field(compare=False)
+
+
+class Dispatcher:
+    """Places requests on targets.
+
+    Args:
+        follower: This node's view of the fleet.
+        board: What this node has seen of each target.
+        get_time_s: Monotonic time.
+        random_source: Breaks ties.
+    """
+
+    def __init__(
+        self,
+        follower: Follower,
+        board: TargetBoard,
+        get_time_s: Callable[[], float],
+        random_source: random.Random,
+    ) -> None:
+        self.follower = follower
+        self.board = board
+        self.get_time_s = get_time_s
+        self.random = random_source
+        self.waiters: list[Waiter] = []
+        self.numbers = itertools.count()
+        self.by_service: dict[str, list[TargetRecord]] = {}
+        follower.on_change.append(self.on_targets)
+
+    def on_targets(self) -> None:
+        """Take changed targets."""
+        self.by_service = {}
+        records = self.follower.targets.get_records()
+        for record in records:
+            if not record.is_leaving:
+                self.by_service.setdefault(record.service, []).append(record)
+        self.board.retain({record.target_id for record in records})
+        self.pump()
+
+    def count_waiting(self) -> int:
+        """Return the number of requests that wait for a place."""
+        return len(self.waiters)
+
+    async def acquire(
+        self, admitted: Admitted, excluded: frozenset[str], deadline_s: float
+    ) -> TargetRecord:
+        """Return a target that the request is counted at.
+
+        Raises:
+            NoTargetError: If the service has no target.
+            OverloadedError: If no place came free in time.
+        """
+        usable = [
+            target
+            for target in self.by_service.get(admitted.service, ())
+            if target.target_id not in excluded
+        ]
+        if not usable:
+            raise NoTargetError(f"{admitted.service} has no target")
+        target = None if self.has_earlier(admitted) else self.place(admitted, excluded)
+        if target is not None:
+            return target
+        return await self.wait(admitted, excluded, deadline_s)
+
+    def has_earlier(self, admitted: Admitted) -> bool:
+        """Whether a more urgent request of the service waits."""
+        return any(
+            waiter.admitted.service == admitted.service and waiter.rank <= admitted.rank
+            for waiter in self.waiters
+        )
+
+    async def wait(
+        self, admitted: Admitted, excluded: frozenset[str], deadline_s: float
+    ) -> TargetRecord:
+        """Wait for a place.
+
+        Raises:
+            OverloadedError: If none came free in time.
+        """
+        now_s = self.get_time_s()
+        objective_s = admitted.route.objective_s
+        limit_s = min(deadline_s, now_s + objective_s * MAX_WAIT_OBJECTIVES)
+        waiter = Waiter(
+            admitted.rank,
+            admitted.request.read_at_s + objective_s,
+            next(self.numbers),
+            admitted,
+            excluded,
+            asyncio.get_running_loop().create_future(),
+        )
+        bisect.insort(self.waiters, waiter)
+        try:
+            return await asyncio.wait_for(waiter.future, max(0.0, limit_s - now_s))
+        except asyncio.TimeoutError as error:
+            raise OverloadedError(f"{admitted.service} is full") from error
+        except asyncio.CancelledError:
+            if waiter.future.done() and not waiter.future.cancelled():
+                self.release(waiter.future.result(), admitted)
+            raise
+        finally:
+            if waiter in self.waiters:
+                self.waiters.remove(waiter)
+
+    def pump(self) -> None:
+        """Place what waits, most urgent first."""
+        for waiter in list(self.waiters):
+            if waiter.future.done():
+                continue
+            target = self.place(waiter.admitted, waiter.excluded)
+            if target is not None:
+                self.waiters.remove(waiter)
+                waiter.future.set_result(target)
+
+    def release(self, target: TargetRecord, admitted: Admitted) -> None:
+        """Count a request out of a target."""
+        self.board.end(target, admitted.facts.prompt_tokens)
+        self.pump()
+
+    def place(
+        self, admitted: Admitted, excluded: frozenset[str]
+    ) -> TargetRecord | None:
+        """Choose a target that has a place and count the request there."""
+        targets = [
+            target
+            for target in self.by_service.get(admitted.service, ())
+            if target.target_id not in excluded and self.has_place(target, admitted)
+        ]
+        candidates = [self.describe(target, admitted) for target in targets]
+        facts = admitted.facts
+        chosen = choose_target(
+            candidates,
+            facts.affinity_key if admitted.route.has_context else "",
+            facts.shared_tokens,
+            self.follower.node_count,
+            [self.random.random() for _ in candidates],
+        )
+        if chosen is None:
+            return None
+        target = next(t for t in targets if t.target_id == chosen.target_id)
+        self.board.begin(target, facts.prompt_tokens)
+        return target
+
+    def has_place(self, target: TargetRecord, admitted: Admitted) -> bool:
+        """Whether this node may send a target one more request."""
+        seen = self.board.get(target.target_id)
+        if seen.is_replaced:
+            return False
+        nodes = self.follower.node_count
+        most = max(MIN_RUNNING, math.ceil(target.slots * SHARE_FACTOR / nodes))
+        if seen.running >= most:
+            return False
+        configuration = self.follower.configuration
+        service = configuration.services_by_name.get(target.service)
+        if service is None or service.engine is None or not seen.running:
+            return True
+        room = service.engine.context_tokens * SHARE_FACTOR / nodes
+        tokens = seen.running_tokens + admitted.facts.prompt_tokens
+        return tokens <= max(room, 2.0 * admitted.facts.prompt_tokens)
+
+    def describe(self, target: TargetRecord, admitted: Admitted) -> Candidate:
+        """Return a target as the policy sees it."""
+        seen = self.board.get(target.target_id)
+        model = admitted.facts.model
+        version = self.find_version(target, seen, model)
+        named = self.follower.weights.get(model, 0)
+        return Candidate(
+            target.target_id,
+            max(1, target.slots),
+            seen.running,
+            seen.unread_tokens,
+            seen.service_s,
+            seen.failure_rate,
+            seen.suspect_until_s > self.get_time_s(),
+            target.is_silent,
+            version is not None and version < named,
+            target.data_centre != self.follower.node.data_centre,
+            target.cold_s,
+        )
+
+    def find_version(self, target: TargetRecord, seen: Seen, model: str) -> int | None:
+        """Return the weight version of a target, if it is known."""
+        told = target.versions.get(model)
+        answered = (seen.versions or {}).get(model)
+        if answered is not None:
+            return max(told or 0, answered[0])
+        return told
--- /dev/null
+++ b/src/laburnumpitch/relay/relay_api.py
@@ -0,0 +1,174 @@
+"""Answers clients: admits, relays and refuses."""
+
+from __future__ import annotations
+
+import random
+
+from ..errors import (
+    LaburnumpitchError,
+    NoLeaseError,
+    NoTargetError,
+    NotFoundError,
+    OverloadedError,
+    QuarantinedError,
+    UnauthenticatedError,
+)
+from ..transport.http_server import HttpRequest, Responder
+from .configuration import Route, RoutingConfiguration
+from .relay_run import RelayRun
+from .request import Admitted
+from .services import RelayServices
+
+RETRY_AFTER_S = (0.25, 0.7)
+"""Bounds of the time after which a refused client comes back, spread so that
+refused clients do not return together."""
+
+UNREADY_RETRY_AFTER_S = (0.8, 1.5)
+"""The same while this node knows no configuration."""
+
+QUARANTINE_STATUS = 503
+LOG_EVERY = 20
+"""Delivered requests for each line that tells of one."""
+
+
+class RelayApi:
+    """The clients' side of a node.
+
+    Args:
+        services: What all runs share.
+        random_source: Splits routes and spreads returns.
+    """
+
+    def __init__(self, services: RelayServices, random_source: random.Random) -> None:
+        self.services = services
+        self.random = random_source
+        self.delivered = 0
+
+    async def handle(self, request: HttpRequest, responder: Responder) -> None:
+        """Answer one request."""
+        request_id = self.services.translator.get_request_id(request)
+        run = None
+        try:
+            admitted = self.admit(request)
+            run = RelayRun(self.services, admitted, responder)
+            await run.serve()
+            self.note_delivered(run)
+        except LaburnumpitchError as error:
+            self.log_failure(request_id, run, error)
+            if responder.has_started:
+                # The client sees the stream break, which promises nothing.
+                return
+            await self.refuse(request_id, responder, run, error)
+
+    def admit(self, request: HttpRequest) -> Admitted:
+        """Check a request against the configuration in force.
+
+        Raises:
+            LaburnumpitchError: If it is not allowed.
+        """
+        follower = self.services.follower
+        configuration = follower.configuration
+        if configuration is None:
+            raise NoLeaseError("no configuration yet")
+        facts = self.services.translator.read_request(request)
+        route = configuration.find_route(facts.host, request.path)
+        if route is None:
+            raise NotFoundError("no route")
+        organisation = None
+        if configuration.organisations and not route.is_anonymous:
+            organisation = configuration.organisations_by_key.get(facts.key)
+            if organisation is None:
+                raise UnauthenticatedError("unknown key")
+        service = self.choose_service(configuration, route)
+        admitted = Admitted(
+            request, facts, route, service, organisation, configuration.version
+        )
+        if follower.quarantined and admitted.fingerprint in follower.quarantined:
+            raise QuarantinedError("it crashed targets before")
+        self.services.retry_share.note_request(service)
+        self.services.metrics.count("request.accepted")
+        return admitted
+
+    def choose_service(self, configuration: RoutingConfiguration, route: Route) -> str:
+        """Return a service of a route, in proportion to the weights."""
+        shares = [share for share in route.shares if share.weight > 0]
+        if len(shares) == 1:
+            return shares[0].service
+        weights = [share.weight for share in shares]
+        return self.random.choices(shares, weights)[0].service
+
+    def choose_status(self, run: RelayRun | None, error: LaburnumpitchError) -> int:
+        """Return the status of a refusal; a promise is made only if it holds."""
+        if isinstance(error, QuarantinedError):
+            return QUARANTINE_STATUS
+        if run is not None and run.may_have_run:
+            return 504 if run.remaining_s <= 0 else 502
+        if run is not None and error.status >= 500:
+            return 503
+        return error.status
+
+    async def refuse(
+        self,
+        request_id: str,
+        responder: Responder,
+        run: RelayRun | None,
+        error: LaburnumpitchError,
+    ) -> None:
+        """Answer a request that is not relayed, or whose targets failed."""
+        status = self.choose_status(run, error)
+        retry_after_s = None
+        if status == 503:
+            retry_after_s = self.choose_return_s(run, error)
+        headers = self.services.translator.make_refusal_headers(
+            request_id, retry_after_s
+        )
+        await responder.send(status, headers, error.code.encode())
+
+    def choose_return_s(self, run: RelayRun | None, error: LaburnumpitchError) -> float:
+        """Return the time after which a client should come back."""
+        is_ready = isinstance(error, (NoTargetError, OverloadedError))
+        bounds = RETRY_AFTER_S if is_ready else UNREADY_RETRY_AFTER_S
+        return_s = self.random.uniform(*bounds)
+        if run is None:
+            return return_s
+        return max(0.0, min(return_s, run.remaining_s / 3))
+
+    def note_delivered(self, run: RelayRun) -> None:
+        """Count an answer, and log one of many."""
+        services = self.services
+        duration_s = services.get_time_s() - run.started_s
+        services.metrics.count("request.completed")
+        services.metrics.time("request.duration", duration_s)
+        self.delivered += 1
+        if self.delivered % LOG_EVERY and not run.excluded:
+            return
+        services.log.info(
+            "request_delivered",
+            request=run.admitted.facts.request_id,
+            route=run.route.name,
+            target=run.last_target,
+            ms=round(duration_s * 1000),
+            tried=len(run.excluded) + 1,
+            configuration=run.admitted.configuration_version,
+            delivered=self.delivered,
+        )
+
+    def log_failure(
+        self, request_id: str, run: RelayRun | None, error: LaburnumpitchError
+    ) -> None:
+        """Log a request that was not delivered."""
+        services = self.services
+        has_run = run is not None and run.may_have_run
+        services.metrics.count("request.failed" if has_run else "request.refused")
+        services.log.info(
+            "request_failed" if has_run else "request_refused",
+            request=request_id,
+            code=error.code,
+            detail=error.detail,
+            route=run.route.name if run else None,
+            service=run.admitted.service if run else None,
+            waiting=services.dispatcher.count_waiting(),
+            tried=run.last_target if run else None,
+            remaining_ms=round(run.remaining_s * 1000) if run else None,
+            configuration=run.admitted.configuration_version if run else None,
+        )
--- /dev/null
+++ b/src/laburnumpitch/serve_command.py
@@ -0,0 +1,61 @@
+"""`laburnumpitch serve`: a node of a fleet, set up by the platform's file."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import os
+import sys
+
+from .errors import SettingsError
+from .fleet_node import FleetNode
+from .logging import configure_logging
+from .platform.settings_file import FleetSettings, read_settings
+from .serving import Servable, serve_until_stopped
+
+SETTINGS_VARIABLE = "LABURNUMPITCH_SETTINGS"
+"""Variable that holds the path of the settings file."""
+
+RELOAD_INTERVAL_S = 1.0
+"""Interval of looking whether the settings file has changed unsignalled."""
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog="laburnumpitch serve", description="Run a node of a fleet."
+    )
+    parser.add_argument(
+        "--settings",
+        default=os.environ.get(SETTINGS_VARIABLE, ""),
+        help=f"path of the settings file (default: ${SETTINGS_VARIABLE})",
+    )
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings without starting"
+    )
+    return parser
+
+
+def run_serve(arguments: list[str]) -> int:
+    """Run a node until it is told to stop."""
+    namespace = make_parser().parse_args(arguments)
+    try:
+        settings = read_settings(namespace.settings)
+    except SettingsError as error:
+        sys.stderr.write(f"laburnumpitch: {error.detail}\n")
+        return 2
+    if namespace.check:
+        print("settings: ok")
+        return 0
+    configure_logging(settings.node_id, stream=sys.stdout)
+    return asyncio.run(serve(settings, namespace.settings))
+
+
+async def serve(settings: FleetSettings, path: str) -> int:
+    """Run the node, and follow changes of its settings file."""
+
+    def reload(node: Servable) -> None:
+        assert isinstance(node, FleetNode)
+        node.reload(path)
+
+    return await serve_until_stopped(lambda: FleetNode(settings), reload)
--- /dev/null
+++ b/src/laburnumpitch/serving.py
@@ -0,0 +1,57 @@
+"""Runs a node until it is told to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Callable
+from typing import Protocol
+
+from .logging import get_logger
+
+
+class Servable(Protocol):
+    """A process's parts."""
+
+    async def start(self) -> None:
+        """Start every part."""
+
+    async def drain(self) -> None:
+        """Finish what is in flight, and take nothing new."""
+
+    async def close(self) -> None:
+        """Stop every part."""
+
+
+async def serve_until_stopped(
+    make_node: Callable[[], Servable],
+    on_reload: Callable[[Servable], None] | None = None,
+) -> int:
+    """Run a node; the first signal drains it, the second one ends it.
+
+    Args:
+        make_node: Makes the node.
+        on_reload: Called when the settings have changed.
+    """
+    node = make_node()
+    stop = asyncio.Event()
+    stop_now = asyncio.Event()
+
+    def on_signal() -> None:
+        (stop_now if stop.is_set() else stop).set()
+
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, on_signal)
+    if on_reload is not None:
+        loop.add_signal_handler(signal.SIGHUP, on_reload, node)
+    await node.start()
+    await stop.wait()
+    get_logger().info("stop_requested")
+    draining = asyncio.create_task(node.drain())
+    forcing = asyncio.create_task(stop_now.wait())
+    await asyncio.wait({draining, forcing}, return_when=asyncio.FIRST_COMPLETED)
+    draining.cancel()
+    forcing.cancel()
+    await node.close()
+    return 0
--- a/src/laburnumpitch/settings.py
+++ b/src/laburnumpitch/settings.py
@@ -196,8 +196,12 @@
         "log entries after which a snapshot is taken",
     ),
     Setting("log-file", "", str, "file to append events to; none: standard error"),
-    Setting("statsd-host", "", str, "IP number of the statsd server; none: no metrics"),
-    Setting("statsd-port", "8125", parse_integer(1, 65535), "UDP port of statsd"),
+    Setting(
+        "metrics-port",
+        "0",
+        parse_integer(0, 65535),
+        "TCP port of the metrics; 0: not served",
+    ),
 )
 """Settings of `laburnumpitch node` and `laburnumpitch check`."""
 
--- a/src/laburnumpitch/transport/http_client.py
+++ b/src/laburnumpitch/transport/http_client.py
@@ -7,18 +7,31 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import time
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass
 
 import h11
 
 from ..errors import MalformedAnswerError, TargetError, TargetTimeoutError
 from ._client_pool import ClientPool
-from .http_server import MAX_HEADER_BYTES, READ_BYTES, Headers
+from .http_server import MAX_HEADER_BYTES, Headers
 
 CONNECT_TIMEOUT_S = 1.0
 """Time to connect."""
 
+USER_TIMEOUT_MS = 1500
+"""Time for the other end's machine to acknowledge what was sent."""
+
+MAX_UNREAD_BYTES = 256 * 1024
+"""Bytes of an answer that wait for a slow caller before reading pauses."""
+
+MAX_IDLE_S = 60.0
+"""Longest idle time of a kept connection that is used again."""
+
+BODILESS_METHODS = frozenset(("GET", "HEAD", "DELETE", "OPTIONS"))
+"""Methods whose requests say nothing of a body if they have none."""
+
 GAP_TIMEOUT_S = 10.0
 """Longest silence within an answer."""
 
@@ -43,25 +56,113 @@
 """Headers that belong to one connection and are never passed on."""
 
 
-@dataclass
-class Connection:
-    """One connection and its h11 state."""
+class Connection(asyncio.Protocol):
+    """One connection and its h11 state.
+
+    Args:
+        loop: The running loop.
+    """
 
-    reader: asyncio.StreamReader
-    writer: asyncio.StreamWriter
-    state: h11.Connection
-    has_ended: bool = False
-    """Whether the other end's last byte was handed to h11."""
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.state = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
+        )
+        self.transport: asyncio.Transport | None = None
+        self.received: list[bytes] = []
+        self.received_bytes = 0
+        self.error: Exception | None = None
+        """Why the connection broke, if not by the other end's orderly close."""
+        self.is_at_end = False
+        """Whether the other end sends nothing more."""
+        self.has_ended = False
+        """Whether the other end's last byte was handed to h11."""
+        self.waiter: asyncio.Future[None] | None = None
+        self.idle_since_s = 0.0
+
+    # Called by the loop.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Note the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+    def data_received(self, data: bytes) -> None:
+        """Keep what arrived for the reader."""
+        self.received.append(data)
+        self.received_bytes += len(data)
+        if self.received_bytes > MAX_UNREAD_BYTES:
+            self.transport.pause_reading()
+        self.wake()
+
+    def eof_received(self) -> bool:
+        """Note the other end's orderly close; this end closes too."""
+        self.is_at_end = True
+        self.wake()
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Note why the connection broke."""
+        self.error = self.error or error
+        self.is_at_end = True
+        self.wake()
+
+    def wake(self) -> None:
+        """Let the reader look again."""
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(None)
+
+    # Called by the user.
 
     def close(self) -> None:
-        """Close the connection."""
-        self.writer.close()
+        """Close the connection at once."""
+        self.transport.abort()
+
+    @property
+    def is_quiet(self) -> bool:
+        """Whether the connection is open and nothing has arrived on it."""
+        return not (self.received or self.is_at_end or self.transport.is_closing())
 
     def send(self, event: h11.Event) -> None:
         """Queue one h11 event."""
         data = self.state.send(event)
         if data:
-            self.writer.write(data)
+            self.transport.write(data)
+
+    def take_received(self) -> bytes:
+        """Return what has arrived; an empty text stands for the end."""
+        data = b"".join(self.received)
+        self.received.clear()
+        if self.received_bytes > MAX_UNREAD_BYTES:
+            self.transport.resume_reading()
+        self.received_bytes = 0
+        return data
+
+    async def wait_data(self, timeout_s: float) -> None:
+        """Wait until something has arrived or the other end is done.
+
+        Raises:
+            TargetTimeoutError: If nothing came in time.
+        """
+        self.waiter = self.loop.create_future()
+        timer = self.loop.call_later(max(0.0, timeout_s), self.waiter.cancel)
+        try:
+            await self.waiter
+        except asyncio.CancelledError:
+            if not self.is_cancelling():
+                raise TargetTimeoutError(f"silent for {timeout_s:.3g} s") from None
+            raise
+        finally:
+            timer.cancel()
+            self.waiter = None
+
+    def is_cancelling(self) -> bool:
+        """Whether the running task itself is being cancelled."""
+        task = asyncio.current_task()
+        return task is not None and task.cancelling() > 0
 
     async def receive(self, timeout_s: float) -> h11.Event:
         """Return the next event of the answer.
@@ -80,12 +181,11 @@
                 raise MalformedAnswerError(f"not HTTP: {error}") from error
             if event is not h11.NEED_DATA:
                 return event
-            try:
-                data = await asyncio.wait_for(self.reader.read(READ_BYTES), timeout_s)
-            except asyncio.TimeoutError as error:
-                raise TargetTimeoutError(f"silent for {timeout_s:.3g} s") from error
-            except OSError as error:
-                raise TargetError(f"broken: {error}", has_died=True) from error
+            if not self.received and not self.is_at_end:
+                await self.wait_data(timeout_s)
+            if not self.received and self.error is not None:
+                raise TargetError(f"broken: {self.error}", has_died=True)
+            data = self.take_received()
             self.has_ended = not data
             self.state.receive_data(data)
 
@@ -178,22 +278,23 @@
             TargetError: With `sent` false, since nothing was written.
         """
         try:
-            reader, writer = await asyncio.wait_for(
-                asyncio.open_connection(self.host, self.port, limit=READ_BYTES),
+            loop = asyncio.get_running_loop()
+            _, connection = await asyncio.wait_for(
+                loop.create_connection(lambda: Connection(loop), self.host, self.port),
                 timeout_s,
             )
         except asyncio.TimeoutError as error:
             raise TargetTimeoutError("no connection in time", sent=False) from error
         except OSError as error:
             raise TargetError(f"no connection: {error}", sent=False) from error
-        state = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
-        return Connection(reader, writer, state)
+        return connection
 
-    def take_idle(self) -> Connection | None:
-        """Return a kept connection that the other end has not closed."""
+    def take_idle(self, max_idle_s: float) -> Connection | None:
+        """Return a kept connection on which nothing has happened since its use."""
+        now_s = time.monotonic()
         while self.idle:
             connection = self.idle.pop()
-            if not connection.reader.at_eof() and not connection.writer.is_closing():
+            if connection.is_quiet and now_s - connection.idle_since_s <= max_idle_s:
                 return connection
             connection.close()
         return None
@@ -207,9 +308,13 @@
             and state.our_state is h11.DONE
             and state.their_state is h11.DONE
             and len(self.idle) < MAX_KEPT_CONNECTIONS
+            and not state.trailing_data[0]
+            and connection.is_quiet
+            and not connection.transport.get_write_buffer_size()
         )
         if is_reusable:
             state.start_next_cycle()
+            connection.idle_since_s = time.monotonic()
             self.idle.append(connection)
         else:
             connection.close()
@@ -223,8 +328,10 @@
         *,
         first_byte_timeout_s: float,
         gap_timeout_s: float = GAP_TIMEOUT_S,
-        must_be_fresh: bool = False,
+        max_idle_s: float = MAX_IDLE_S,
         before_write: Callable[[], None] | None = None,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        host: str = "",
     ) -> HttpAnswer:
         """Send a request and return its answer once the headers are there.
 
@@ -235,25 +342,27 @@
             body: The whole body.
             first_byte_timeout_s: Time for the answer's headers.
             gap_timeout_s: Longest silence within the body.
-            must_be_fresh: Whether to use a new connection. A kept one may be
-                closed by the other end while the request is written, which
-                leaves open whether it ran.
+            max_idle_s: Longest idle time of a kept connection that is used; 0
+                for a new one. A kept one may be closed by the other end while
+                the request is written, which leaves open whether it ran.
             before_write: Called right before the first byte is written; what it
                 raises keeps the request from being sent.
+            connect_timeout_s: Time to connect.
+            host: Host header; the address if empty.
 
         Raises:
             TargetError: If the request fails; `sent` tells whether any byte of
                 it was written.
         """
-        connection = None if must_be_fresh else self.take_idle()
+        connection = self.take_idle(max_idle_s) if max_idle_s > 0 else None
         if connection is None:
             connection = await self.connect(
-                min(CONNECT_TIMEOUT_S, first_byte_timeout_s)
+                min(connect_timeout_s, first_byte_timeout_s)
             )
         try:
             if before_write is not None:
                 before_write()
-            self.write_request(connection, method, path, headers, body)
+            self.write_request(connection, method, path, headers, body, host)
             head = await connection.receive(first_byte_timeout_s)
             while isinstance(head, h11.InformationalResponse):
                 head = await connection.receive(first_byte_timeout_s)
@@ -271,10 +380,13 @@
         path: str,
         headers: Headers,
         body: bytes,
+        host: str,
     ) -> None:
         """Queue a whole request."""
-        all_headers = [("host", self.address), ("content-length", str(len(body)))]
-        all_headers += [item for item in headers if item[0] not in HOP_HEADERS]
+        all_headers = [item for item in headers if item[0] not in HOP_HEADERS]
+        all_headers.insert(0, ("host", host or self.address))
+        if body or method not in BODILESS_METHODS:
+            all_headers.append(("content-length", str(len(body))))
         try:
             connection.send(
                 h11.Request(method=method, target=path, headers=all_headers)
--- a/src/laburnumpitch/transport/http_server.py
+++ b/src/laburnumpitch/transport/http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -23,8 +24,11 @@
 IDLE_TIMEOUT_S = 75.0
 """Time for the next request on a connection."""
 
+HEADER_TIMEOUT_S = 30.0
+"""Time for a request's headers to arrive after their first byte."""
+
 BODY_TIMEOUT_S = 30.0
-"""Time for a whole request to arrive after its first byte."""
+"""Time for a whole body to arrive after the headers."""
 
 WRITE_TIMEOUT_S = 30.0
 """Time for a caller to take what was written."""
@@ -35,6 +39,16 @@
 Headers = list[tuple[str, str]]
 
 
+@dataclass(frozen=True)
+class ServerLimits:
+    """What callers may send, and how long they may take."""
+
+    header_bytes: int = MAX_HEADER_BYTES
+    body_bytes: int = MAX_BODY_BYTES
+    header_timeout_s: float = HEADER_TIMEOUT_S
+    idle_timeout_s: float = IDLE_TIMEOUT_S
+
+
 @dataclass(frozen=True)
 class HttpRequest:
     """One request with its whole body."""
@@ -46,6 +60,8 @@
     headers: Headers
     """Names in lower case."""
     body: bytes
+    read_at_s: float = 0.0
+    """Monotonic time at which the headers were read."""
 
     def get_header(self, name: str) -> str:
         """Return the first header of a name, or an empty string."""
@@ -127,12 +143,20 @@
         host: Address to bind.
         port: TCP port to bind; 0 takes a free one.
         handler: Answers a request; must finish the answer or raise.
+        limits: Bounds on callers; may be replaced while serving.
     """
 
-    def __init__(self, host: str, port: int, handler: RequestHandler) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        handler: RequestHandler,
+        limits: ServerLimits | None = None,
+    ) -> None:
         self.host = host
         self.port = port
         self.handler = handler
+        self.limits = limits or ServerLimits()
         self.is_draining = False
         self.busy = 0
         """Requests that are being answered."""
@@ -190,7 +214,7 @@
     ) -> None:
         """Answer the requests of one connection in turn."""
         connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES
+            h11.SERVER, max_incomplete_event_size=self.limits.header_bytes
         )
         while True:
             responder = Responder(connection, writer)
@@ -202,6 +226,12 @@
             except h11.RemoteProtocolError as error:
                 await self.reject(responder, error.error_status_hint, "malformed")
                 return
+            except asyncio.TimeoutError:
+                if connection.their_state is not h11.IDLE or (
+                    connection.trailing_data[0]
+                ):
+                    await self.reject(responder, 408, "too_slow")
+                return
             if request is None:
                 return
             responder.must_close = self.is_draining
@@ -234,15 +264,13 @@
         Raises:
             TooLargeError: If the body is over its bound.
         """
-        self.idle.add(writer)
-        try:
-            head = await asyncio.wait_for(
-                self.read_head(connection, reader, writer), IDLE_TIMEOUT_S
-            )
-        finally:
-            self.idle.discard(writer)
+        head = await self.read_head(connection, reader, writer)
         if head is None:
             return None
+        read_at_s = time.monotonic()
+        names = {name for name, _ in head.headers}
+        if b"content-length" in names and b"transfer-encoding" in names:
+            raise h11.RemoteProtocolError("two lengths", error_status_hint=400)
         body = await asyncio.wait_for(
             self.read_body(connection, reader, writer), BODY_TIMEOUT_S
         )
@@ -251,7 +279,8 @@
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in head.headers
         ]
-        return HttpRequest(head.method.decode("latin-1"), path, query, headers, body)
+        method = head.method.decode("latin-1")
+        return HttpRequest(method, path, query, headers, body, read_at_s)
 
     async def read_head(
         self,
@@ -259,18 +288,44 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> h11.Request | None:
-        """Read up to the end of the headers."""
+        """Read up to the end of the headers.
+
+        Raises:
+            TimeoutError: If the caller is idle or slow for too long.
+        """
+        deadline_s = None
         while True:
             event = connection.next_event()
-            if event is h11.NEED_DATA:
-                data = await reader.read(READ_BYTES)
-                connection.receive_data(data)
-                if data:
-                    self.idle.discard(writer)
-            elif isinstance(event, h11.Request):
+            if isinstance(event, h11.Request):
                 return event
-            else:
+            if event is not h11.NEED_DATA:
                 return None
+            if deadline_s is None and not connection.trailing_data[0]:
+                data = await self.read_idle(reader, writer)
+            else:
+                now_s = time.monotonic()
+                deadline_s = deadline_s or now_s + self.limits.header_timeout_s
+                data = await asyncio.wait_for(
+                    reader.read(READ_BYTES), deadline_s - now_s
+                )
+            deadline_s = deadline_s or (time.monotonic() + self.limits.header_timeout_s)
+            connection.receive_data(data)
+
+    async def read_idle(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bytes:
+        """Wait for the first bytes of a request.
+
+        Raises:
+            TimeoutError: If none come in time.
+        """
+        self.idle.add(writer)
+        try:
+            return await asyncio.wait_for(
+                reader.read(READ_BYTES), self.limits.idle_timeout_s
+            )
+        finally:
+            self.idle.discard(writer)
 
     async def read_body(
         self,
@@ -290,8 +345,8 @@
                 connection.receive_data(await reader.read(READ_BYTES))
             elif isinstance(event, h11.Data):
                 size += len(event.data)
-                if size > MAX_BODY_BYTES:
-                    raise TooLargeError(f"the body is over {MAX_BODY_BYTES} bytes")
+                if size > self.limits.body_bytes:
+                    raise TooLargeError(f"over {self.limits.body_bytes} bytes")
                 parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 return b"".join(parts)
@@ -307,28 +362,32 @@
     ) -> None:
         """Run the handler, and cancel it if the caller goes away."""
         handling = asyncio.ensure_future(self.handler(request, responder))
-        watching = asyncio.ensure_future(reader.read(1))
+        watching = asyncio.ensure_future(self.watch(reader, connection, handling))
         try:
-            while not handling.done():
-                waiting = {handling} if watching.done() else {handling, watching}
-                await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
-                if watching.done() and not handling.done():
-                    if not watching.result():
-                        handling.cancel()
             await handling
         except asyncio.CancelledError:
             handling.cancel()
             await asyncio.gather(handling, return_exceptions=True)
             raise
         finally:
-            await self.stop_watching(watching, connection)
+            watching.cancel()
+            await asyncio.gather(watching, return_exceptions=True)
 
-    async def stop_watching(
-        self, watching: asyncio.Future[bytes], connection: h11.Connection
+    async def watch(
+        self,
+        reader: asyncio.StreamReader,
+        connection: h11.Connection,
+        handling: asyncio.Future[None],
     ) -> None:
-        """Give what arrived early back to the connection's state."""
-        if not watching.done():
-            watching.cancel()
-        result = (await asyncio.gather(watching, return_exceptions=True))[0]
-        if isinstance(result, bytes):
-            connection.receive_data(result)
+        """Cancel a handler once its caller has gone; keep what arrives early."""
+        while True:
+            try:
+                data = await reader.read(READ_BYTES)
+            except OSError:
+                data = b""
+            if not data:
+                handling.cancel()
+                return
+            connection.receive_data(data)
+            if len(connection.trailing_data[0]) > self.limits.header_bytes:
+                return
--- a/src/laburnumpitch/transport/rpc.py
+++ b/src/laburnumpitch/transport/rpc.py
@@ -247,11 +247,14 @@
         payload = encode(item)
         TRAFFIC.sent_bytes += len(payload)
         TRAFFIC.sent_messages += 1
-        try:
-            zmq.Socket.send_multipart(
-                self.socket, [request_id, kind, payload], zmq.DONTWAIT
-            )
-        except zmq.ZMQError as error:
+        # The asyncio socket looks for received messages after a send, which the
+        # plain socket would leave unnoticed until the next one arrives.
+        sent = self.socket.send_multipart([request_id, kind, payload], zmq.DONTWAIT)
+        if not sent.done():
+            sent.cancel()
+            raise RpcTimeoutError(f"queue to {self.address} is full")
+        error = sent.exception()
+        if error is not None:
             raise RpcTimeoutError(f"queue to {self.address} is full") from error
 
     async def receive(self) -> None:
--- a/standins/balancer.py
+++ b/standins/balancer.py
@@ -79,7 +79,7 @@
             request.headers,
             request.body,
             first_byte_timeout_s=ANSWER_TIMEOUT_S,
-            must_be_fresh=True,
+            max_idle_s=0.0,
         )
         try:
             if answer.status == 503:
