Roll named weight versions out from one holder

The leader orders engines to load, two fifths of a service at once, each order under its term and with the number of orders before it; nodes avoid an engine that loads.

--- a/src/laburnumpitch/fleet/hub.py
+++ b/src/laburnumpitch/fleet/hub.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 from ..control.replica import Replica
 from ..errors import LaburnumpitchError
@@ -106,6 +107,11 @@
         self.wake()
         return self.sequence
 
+    def change_target(self, target_id: str, **changes: Any) -> None:
+        """Tell every node what the leader itself knows of a target."""
+        if self.targets.change(target_id, **changes):
+            self.wake()
+
     @property
     def is_settled(self) -> bool:
         """Whether every target has had time to announce itself here."""
--- a/src/laburnumpitch/fleet/messages.py
+++ b/src/laburnumpitch/fleet/messages.py
@@ -74,6 +74,8 @@
     is_gone: bool = False
     is_silent: bool = False
     """Whether announcements have stopped coming."""
+    is_loading: bool = False
+    """Whether it is changing its weights and takes no new requests."""
     cold_s: float = 0.0
     """How much longer it is slow after its start."""
     versions: dict[str, int] = field(default_factory=dict)
--- a/src/laburnumpitch/fleet/target_table.py
+++ b/src/laburnumpitch/fleet/target_table.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
+from typing import Any
 
 from .messages import TargetRecord
 
@@ -69,8 +70,8 @@
             old.is_gone and record.born_ms <= old.born_ms
         ):
             return False
-        if record.born_ms == old.born_ms and old.is_leaving:
-            record = replace(record, is_leaving=True)
+        if record.born_ms == old.born_ms:
+            record = carry_over(record, old)
         known.heard_s = now_s
         if is_same(record, old):
             known.record = record
@@ -114,10 +115,21 @@
 
     def mark_silent(self, target_id: str) -> bool:
         """Note that a target has gone silent; return whether that is new."""
-        known = self.known[target_id]
-        if known.record.is_silent or known.record.is_gone:
+        return self.change(target_id, is_silent=True)
+
+    def change(self, target_id: str, **changes: Any) -> bool:
+        """Change what a leader itself knows of a target.
+
+        Returns:
+            Whether anything has changed.
+        """
+        known = self.known.get(target_id)
+        if known is None or known.record.is_gone:
+            return False
+        record = replace(known.record, **changes)
+        if record == known.record:
             return False
-        self.put(replace(known.record, is_silent=True), known.heard_s)
+        self.put(record, known.heard_s)
         return True
 
     def check_silence(self, now_s: float) -> bool:
@@ -146,6 +158,20 @@
     return record.sequence < known.sequence
 
 
+def carry_over(record: TargetRecord, old: TargetRecord) -> TargetRecord:
+    """Return an announcement with what the same target cannot take back."""
+    versions = {
+        model: max(version, old.versions.get(model, 0))
+        for model, version in record.versions.items()
+    }
+    return replace(
+        record,
+        is_leaving=record.is_leaving or old.is_leaving,
+        is_loading=old.is_loading,
+        versions=versions,
+    )
+
+
 def is_same(record: TargetRecord, old: TargetRecord) -> bool:
     """Whether two announcements differ in nothing that nodes act on."""
     return replace(record, sequence=0, cold_s=0.0) == replace(
--- /dev/null
+++ b/src/laburnumpitch/fleet/weights_commander.py
@@ -0,0 +1,210 @@
+"""Brings every engine to the named weight versions while this node leads.
+
+One holder gives orders: the leader, from the time at which the lease of the one
+before it has run out. Each order names the number of orders before it, so that a
+copy which arrives late does nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from ..errors import LaburnumpitchError, NotLeaderError, TargetError
+from ..logging import get_logger
+from ..policy.rollout import EngineVersion, PoolRollout, choose_loads
+from .core import Core
+from .hub import Hub
+from .messages import TargetRecord
+from .orders import ACCEPTED, ALREADY, Engines, WeightOrder
+
+INTERVAL_S = 0.1
+"""Interval of looking for orders that are due."""
+
+HOLDER_MARGIN_S = 0.5
+"""Time beyond the lease before a new holder's first order: what the old one wrote
+last has to arrive."""
+
+REPORT_INTERVAL_S = 0.35
+"""Interval of asking an engine whether its load has ended."""
+
+LOAD_TIMEOUT_S = 8.0
+"""Time after which a load that is not seen to end is ordered again."""
+
+ORDER_PAUSE_S = 0.5
+"""Pause before an engine that did not take an order is asked again."""
+
+CAPACITY_FLOOR = 0.6
+"""Share of a service's engines that keep serving; also how many may load at once
+without slowing each other."""
+
+
+class WeightsCommander:
+    """Rolls named weight versions out.
+
+    Args:
+        core: This node's replica.
+        engines: Reports of engines and orders to them.
+        lease_s: Time that must pass between orders of two holders.
+        get_time_s: Monotonic time.
+    """
+
+    def __init__(
+        self,
+        core: Core,
+        engines: Engines,
+        lease_s: float,
+        get_time_s: Callable[[], float],
+    ) -> None:
+        self.core = core
+        self.engines = engines
+        self.lease_s = lease_s
+        self.get_time_s = get_time_s
+        self.term = -1
+        self.loads: dict[str, asyncio.Task[None]] = {}
+        """Loads ordered in this term, by target."""
+        self.log = get_logger()
+
+    async def run(self) -> None:
+        """Give orders that are due, until cancelled."""
+        try:
+            while True:
+                await asyncio.sleep(INTERVAL_S)
+                hub = self.core.hub
+                if hub is not None and self.may_command(hub):
+                    self.command(hub)
+        finally:
+            self.drop_loads()
+
+    def drop_loads(self) -> None:
+        """Stop following loads."""
+        for load in self.loads.values():
+            load.cancel()
+        self.loads.clear()
+
+    def may_command(self, hub: Hub) -> bool:
+        """Whether no other holder's order can still be on its way."""
+        try:
+            hub.check_term()
+        except NotLeaderError:
+            return False
+        core = hub.replica.core
+        if core.term != self.term:
+            self.drop_loads()
+            self.term = core.term
+        waited_s = self.get_time_s() - core.leader_since_s
+        return waited_s > self.lease_s + HOLDER_MARGIN_S
+
+    def command(self, hub: Hub) -> None:
+        """Start the loads that are due."""
+        weights = hub.replica.machine.state.weights
+        pools: dict[str, list[TargetRecord]] = {}
+        for record in hub.targets.get_records():
+            if record.versions and not record.is_leaving:
+                pools.setdefault(record.service, []).append(record)
+        for records in pools.values():
+            for model, version in weights.items():
+                having = [record for record in records if model in record.versions]
+                self.command_pool(hub, having, model, version)
+
+    def command_pool(
+        self, hub: Hub, records: list[TargetRecord], model: str, version: int
+    ) -> None:
+        """Start the loads of one model in one service."""
+        by_id = {record.target_id: record for record in records}
+        engines = tuple(
+            EngineVersion(
+                record.target_id,
+                str(min(record.versions[model], version)),
+                record.target_id in self.loads,
+                record.is_silent,
+            )
+            for record in records
+        )
+        pool = PoolRollout(str(version), engines, CAPACITY_FLOOR, False, len(engines))
+        for target_id in choose_loads(pool):
+            task = asyncio.create_task(self.load(hub, by_id[target_id], model, version))
+            self.loads[target_id] = task
+
+    async def load(
+        self, hub: Hub, record: TargetRecord, model: str, version: int
+    ) -> None:
+        """Order one load and follow it to its end."""
+        target_id = record.target_id
+        started_s = self.get_time_s()
+        hub.change_target(target_id, is_loading=True)
+        try:
+            while self.get_time_s() - started_s < LOAD_TIMEOUT_S:
+                try:
+                    if await self.step(hub, record, model, version):
+                        break
+                    await asyncio.sleep(REPORT_INTERVAL_S)
+                except TargetError as error:
+                    self.log.info(
+                        "order_failed",
+                        target=target_id,
+                        version=version,
+                        code=error.code,
+                        detail=error.detail,
+                    )
+                    await asyncio.sleep(ORDER_PAUSE_S)
+        except LaburnumpitchError as error:
+            self.log.warning("order_lost", target=target_id, code=error.code)
+        finally:
+            self.loads.pop(target_id, None)
+            hub.change_target(target_id, is_loading=False)
+        self.log.info(
+            "load_ended",
+            target=target_id,
+            model=model,
+            version=version,
+            seconds=round(self.get_time_s() - started_s, 2),
+        )
+
+    async def step(
+        self, hub: Hub, record: TargetRecord, model: str, version: int
+    ) -> bool:
+        """Read an engine's state and order what it lacks.
+
+        Returns:
+            Whether the engine has the version.
+        """
+        report = await self.engines.read_report(record)
+        if report.versions.get(model, 0) >= version:
+            hub.change_target(
+                record.target_id, versions={**record.versions, **report.versions}
+            )
+            return True
+        if report.is_busy:
+            return False
+        order = WeightOrder(
+            model,
+            version,
+            self.core.node.host,
+            self.term,
+            report.order_count,
+            lambda: self.check_holder(hub),
+        )
+        result = await self.engines.order_weights(record, order)
+        self.log.info(
+            "load_ordered",
+            target=record.target_id,
+            model=model,
+            version=version,
+            token=order.token,
+            after_orders=order.after_orders,
+            result=result,
+        )
+        if result not in (ACCEPTED, ALREADY):
+            await asyncio.sleep(ORDER_PAUSE_S)
+        return False
+
+    def check_holder(self, hub: Hub) -> None:
+        """Check the lease right before an order is written.
+
+        Raises:
+            NotLeaderError: If another holder may give orders.
+        """
+        hub.check_term()
+        if hub.term != self.term:
+            raise NotLeaderError("a new term has begun")
--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -9,6 +9,7 @@
 
 import zmq.asyncio
 
+from ._tasks import cancel_and_wait
 from .clock_sources import get_steady_s
 from .errors import SettingsError
 from .fleet.core import Core
@@ -17,6 +18,7 @@
 from .fleet.leader_client import LeaderClient
 from .fleet.leader_service import LeaderService
 from .fleet.messages import Hello, NodeRecord
+from .fleet.weights_commander import WeightsCommander
 from .logging import get_logger
 from .metrics import Metrics
 from .metrics_server import make_metrics_server
@@ -24,6 +26,7 @@
 from .platform.control_api import ControlApi, ReadyApi
 from .platform.http_headers import HeaderTranslator
 from .platform.settings_file import FleetSettings, read_settings
+from .platform.target_client import PlatformEngines
 from .relay.board import TargetBoard
 from .relay.dispatcher import Dispatcher
 from .relay.relay_api import RelayApi
@@ -96,6 +99,7 @@
             get_steady_s,
         )
         self.core = self.make_core()
+        self.engines = PlatformEngines()
         self.leader_service = LeaderService(
             self.core,
             self.get_leader_hint,
@@ -185,6 +189,10 @@
         await self.rpc.start()
         if self.core is not None:
             await self.core.start()
+            self.commander = WeightsCommander(
+                self.core, self.engines, settings.order_lease_s, get_steady_s
+            )
+            self.commanding = asyncio.create_task(self.commander.run())
             self.follower.on_change.append(self.check_members)
         self.follower.on_change.append(self.set_limits)
         await self.follower.start()
@@ -266,7 +274,9 @@
             await server.close()
         await self.follower.close()
         if self.core is not None:
+            await cancel_and_wait(self.commanding)
             await self.core.close()
+        self.engines.close()
         self.services.close()
         await self.rpc.close()
         self.pool.close()
--- a/src/laburnumpitch/policy/placement.py
+++ b/src/laburnumpitch/policy/placement.py
@@ -23,6 +23,9 @@
 SUSPECT_COST_S = 5.0
 """Cost of a target that failed right now; taken only if there is no other."""
 
+LOADING_COST_S = 3.0
+"""Cost of an engine that changes its weights; usual time of a load."""
+
 WRONG_VERSION_COST_S = 0.5
 """Cost of weights that are older than the named ones."""
 
@@ -49,6 +52,8 @@
     is_outdated: bool
     """Whether its weights are older than the named ones."""
     is_remote: bool
+    is_loading: bool = False
+    """Whether it is changing its weights and takes no new requests."""
     cold_s: float = 0.0
 
 
@@ -76,6 +81,7 @@
     wait_s += candidate.failure_rate * FAILING_COST_S
     wait_s += min(candidate.cold_s, 1.0)
     wait_s += SUSPECT_COST_S * candidate.is_suspect
+    wait_s += LOADING_COST_S * candidate.is_loading
     wait_s += SILENT_COST_S * candidate.is_silent
     wait_s += WRONG_VERSION_COST_S * candidate.is_outdated
     return wait_s + REMOTE_COST_S * candidate.is_remote
@@ -101,7 +107,7 @@
         return None
     home = ""
     if affinity_key:
-        ids = [item.target_id for item in candidates if not item.is_suspect]
+        ids = [c.target_id for c in candidates if not (c.is_suspect or c.is_loading)]
         home = rank_by_hash(affinity_key, ids)[0] if ids else ""
     read_s = shared_tokens / READ_TOKENS_PER_S
 
--- a/src/laburnumpitch/relay/dispatcher.py
+++ b/src/laburnumpitch/relay/dispatcher.py
@@ -213,6 +213,7 @@
             target.is_silent,
             version is not None and version < named,
             target.data_centre != self.follower.node.data_centre,
+            target.is_loading,
             target.cold_s,
         )
 
