Keep sessions' context in the large stores, each under one keeper's books

Change: the leader names a keeper for each managed store; a keeper grants reads (with a bound on the targets' clock) and saves, follows the store's events, and frees least recently used parts that no granted read can touch. A request asks the keeper of the store that its session hashes to; without an answer in 30 ms it is read as before. Ruled out: more affinity (the engines' memory turns over in about 2 s).

--- a/src/laburnumpitch/errors.py
+++ b/src/laburnumpitch/errors.py
@@ -273,6 +273,13 @@
     status = 422
 
 
+class StoreNotKeptError(LaburnumpitchError):
+    """The node asked does not keep the books of this store."""
+
+    code = "store_not_kept"
+    status = 503
+
+
 class InvalidConfigurationError(LaburnumpitchError):
     """A configuration cannot be read in full, or breaks a rule."""
 
--- a/src/laburnumpitch/fleet/core.py
+++ b/src/laburnumpitch/fleet/core.py
@@ -43,6 +43,8 @@
         leader: Finds the leader.
         metrics: Where measurements go.
         interval_s: Interval of the targets' announcements.
+        list_stores: Returns the addresses of the stores that need a keeper.
+        get_keepers: Returns the store keepers that this node knows.
         get_time_s: Monotonic time.
     """
 
@@ -55,6 +57,8 @@
         leader: LeaderClient,
         metrics: Metrics,
         interval_s: float,
+        list_stores: Callable[[], list[str]],
+        get_keepers: Callable[[], dict[str, str]],
         get_time_s: Callable[[], float],
     ) -> None:
         self.node = node
@@ -64,6 +68,8 @@
         self.leader = leader
         self.metrics = metrics
         self.interval_s = interval_s
+        self.list_stores = list_stores
+        self.get_keepers = get_keepers
         self.get_time_s = get_time_s
         self.replica: Replica | None = None
         self.hub: Hub | None = None
@@ -116,7 +122,13 @@
         self.leader.set_hosts(
             [*self.leader.names, *(member.name for member in replica.core.members)]
         )
-        self.hub = Hub(replica, self.interval_s, self.get_time_s)
+        self.hub = Hub(
+            replica,
+            self.interval_s,
+            self.list_stores,
+            self.get_keepers,
+            self.get_time_s,
+        )
         self.hub_task = asyncio.create_task(self.hub.run())
         self.replica = replica
 
--- a/src/laburnumpitch/fleet/follower.py
+++ b/src/laburnumpitch/fleet/follower.py
@@ -57,6 +57,7 @@
         """Text of the configuration in force, packed."""
         self.weights: dict[str, int] = {}
         self.quarantined: frozenset[str] = frozenset()
+        self.keepers: dict[str, str] = {}
         self.members: list[Member] = []
         self.hosts: list[str] = []
         self.node_count = 1
@@ -124,6 +125,7 @@
             self.mark_unnamed()
         self.weights = answer.weights
         self.quarantined = frozenset(answer.quarantined)
+        self.keepers = answer.keepers
         self.members = answer.members
         self.hosts = answer.hosts
         self.node_count = max(1, len(answer.hosts))
--- a/src/laburnumpitch/fleet/hub.py
+++ b/src/laburnumpitch/fleet/hub.py
@@ -14,6 +14,7 @@
 from ..control.replica import Replica
 from ..errors import LaburnumpitchError
 from ..logging import get_logger
+from .keeper_choice import assign_keepers
 from .messages import Follow, FollowAnswer, NodeRecord, TargetDied
 from .target_table import TargetTable
 
@@ -33,6 +34,13 @@
 CHECK_INTERVAL_S = 0.3
 """Interval of looking for silent targets."""
 
+KEEPER_DELAY_S = 1.0
+"""Time after a leader's election before it names keepers."""
+
+KEEPER_LOST_S = 2.5
+"""Silence after which a store gets another keeper; the old one has stopped by
+then."""
+
 MAX_DEATHS = 3
 """Targets that may die of one request before it is refused everywhere."""
 
@@ -58,14 +66,24 @@
     Args:
         replica: This node's replica.
         interval_s: Interval of the targets' announcements.
-        get_time_s: Monotonic time.
+        list_stores: Returns the addresses of the stores that need a keeper.
+        get_keepers: Returns the keepers that this node knows; a new term keeps
+            those that live.
+        get_time_s: Steady time.
     """
 
     def __init__(
-        self, replica: Replica, interval_s: float, get_time_s: Callable[[], float]
+        self,
+        replica: Replica,
+        interval_s: float,
+        list_stores: Callable[[], list[str]],
+        get_keepers: Callable[[], dict[str, str]],
+        get_time_s: Callable[[], float],
     ) -> None:
         self.replica = replica
         self.interval_s = interval_s
+        self.list_stores = list_stores
+        self.get_keepers = get_keepers
         self.get_time_s = get_time_s
         self.log = get_logger()
         self.changed = asyncio.Event()
@@ -79,6 +97,7 @@
         self.followers: dict[str, FollowerState] = {}
         self.deaths: dict[str, set[str]] = {}
         self.quarantined: dict[str, None] = {}
+        self.keepers = dict(self.get_keepers())
         self.wake()
 
     def check_term(self) -> None:
@@ -180,6 +199,7 @@
             members=self.replica.core.members,
             hosts=[h for h, f in self.followers.items() if f.heard_s >= horizon_s],
             quarantined=list(self.quarantined),
+            keepers=self.keepers,
         )
 
     async def wait_seen(self, sequence: int) -> bool:
@@ -217,9 +237,26 @@
                 self.check_term()
             except LaburnumpitchError:
                 continue
+            self.assign_keepers()
             if self.is_settled and self.targets.check_silence(self.get_time_s()):
                 self.publish()
 
+    def assign_keepers(self) -> None:
+        """Name a keeper for each store, once nodes have had time to follow."""
+        now_s = self.get_time_s()
+        if now_s - self.started_s < KEEPER_DELAY_S:
+            return
+        live = [
+            host
+            for host, follower in sorted(self.followers.items())
+            if now_s - follower.heard_s < KEEPER_LOST_S and follower.node.has_disk
+        ]
+        keepers = assign_keepers(self.list_stores(), live, self.keepers)
+        if keepers != self.keepers:
+            self.keepers = keepers
+            self.log.info("keepers_named", keepers=keepers)
+            self.publish()
+
     def note_death(self, notice: TargetDied) -> None:
         """Count a target that died while it ran a request."""
         self.check_term()
--- a/src/laburnumpitch/fleet/messages.py
+++ b/src/laburnumpitch/fleet/messages.py
@@ -135,6 +135,8 @@
     """Hosts of nodes that follow."""
     quarantined: list[str]
     """Fingerprints of requests that crash targets."""
+    keepers: dict[str, str]
+    """Host of the node that keeps each store, by the store's address."""
 
 
 @message
@@ -174,6 +176,28 @@
     born_ms: int
 
 
+@message
+class GrantContext:
+    """Asks a store's keeper what a request may read and save there."""
+
+    address: str
+    salt: str
+    pieces: list[str]
+    tokens: list[int]
+    data_centre: str
+    """Data centre of the target that will read and save."""
+
+
+@message
+class ContextGrant:
+    """What a request may read and save, for each piece."""
+
+    may_read: list[bool]
+    may_save: list[bool]
+    read_until_ms: int
+    """The targets' clock after which reads are thrown away."""
+
+
 # Commands of the replicated log.
 
 
--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -15,9 +15,10 @@
 from .fleet.core import Core
 from .fleet.follower import Follower
 from .fleet.founding import Founding
+from .fleet.keepers import Keepers, list_managed
 from .fleet.leader_client import LeaderClient
 from .fleet.leader_service import LeaderService
-from .fleet.messages import Hello, NodeRecord
+from .fleet.messages import GrantContext, Hello, NodeRecord
 from .fleet.weights_commander import WeightsCommander
 from .logging import get_logger
 from .metrics import Metrics
@@ -26,8 +27,9 @@
 from .platform.control_api import ControlApi, ReadyApi
 from .platform.http_headers import HeaderTranslator
 from .platform.settings_file import FleetSettings, read_settings
-from .platform.target_client import PlatformEngines
+from .platform.target_client import PlatformEngines, PlatformStores
 from .relay.board import TargetBoard
+from .relay.context_planner import ContextPlanner
 from .relay.dispatcher import Dispatcher
 from .relay.relay_api import RelayApi
 from .relay.retry_share import RetryShare
@@ -100,6 +102,7 @@
         )
         self.core = self.make_core()
         self.engines = PlatformEngines()
+        self.stores = PlatformStores()
         self.leader_service = LeaderService(
             self.core,
             self.get_leader_hint,
@@ -121,9 +124,16 @@
             self.leader,
             self.metrics,
             self.settings.announce_interval_s,
+            self.list_stores,
+            lambda: self.follower.keepers,
             get_steady_s,
         )
 
+    def list_stores(self) -> list[str]:
+        """Return the addresses of the stores that need a keeper."""
+        configuration = self.follower.configuration
+        return [size.address for size in list_managed(configuration)]
+
     def make_relay(self) -> None:
         """Make the parts that serve clients."""
         settings = self.settings
@@ -137,9 +147,14 @@
             lambda: self.follower.node_count,
             time.monotonic,
         )
+        self.keepers = Keepers(self.follower, self.stores, get_steady_s)
+        planner = ContextPlanner(
+            self.follower, self.keepers, self.pool, settings.rpc_port
+        )
         self.services = RelayServices(
             self.follower,
             dispatcher,
+            planner,
             board,
             HeaderTranslator(),
             retry_share,
@@ -185,6 +200,7 @@
             seeds=",".join(settings.seed_hosts),
         )
         self.rpc.on(Hello, self.founding.on_hello)
+        self.rpc.on(GrantContext, self.keepers.on_grant)
         self.leader_service.register(self.rpc)
         await self.rpc.start()
         if self.core is not None:
@@ -277,6 +293,8 @@
             await cancel_and_wait(self.commanding)
             await self.core.close()
         self.engines.close()
+        await self.keepers.close()
+        self.stores.close()
         self.services.close()
         await self.rpc.close()
         self.pool.close()
--- a/src/laburnumpitch/platform/target_client.py
+++ b/src/laburnumpitch/platform/target_client.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TypeVar
+
 import msgspec
 
 from ..errors import (
@@ -18,12 +20,25 @@
     EngineReport,
     WeightOrder,
 )
+from ..fleet.stores import StoreEvent, StoreEvents, StoreListing
 from ..transport.http_client import HttpClientPool
 from ..transport.http_server import Headers
 from .http_headers import EXPECT_INSTANCE
 
 REPORT = "/-/report"
 ORDER = "/-/order"
+EVENTS = "/-/kv-events"
+LISTING = "/-/kv-list"
+FREE = "/-/kv-free"
+WAIT_MS = "wait-ms"
+ADDED = "+"
+
+EVENTS_WAIT_MS = 1000
+"""Time for which a store holds a call until something happens."""
+
+EVENTS_TIMEOUT_S = 2.0
+"""Time for such a call."""
+
 SWITCH_WAIT = "wait"
 """Runs that have begun finish on the weights that they began on."""
 
@@ -33,6 +48,8 @@
 ORDER_TIMEOUT_S = 0.8
 """Time for an engine to take an order; it does not wait for its end."""
 
+WireT = TypeVar("WireT")
+
 JSON: Headers = [("content-type", "application/json")]
 
 ORDER_RESULTS = {202: ACCEPTED, 200: ALREADY, 409: BUSY, 412: OUTDATED_HOLDER}
@@ -68,6 +85,137 @@
     """Number of orders that the engine must have accepted before."""
 
 
+class WireEvents(msgspec.Struct):
+    """What has happened at a store."""
+
+    epoch: int
+    next_token: int
+    """Number of the next event, not a token of a prompt."""
+    has_gap: bool
+    events: list[tuple[int, str, str, str, int, str]]
+    """Number, + or -, salt, part, tokens stored now, model."""
+    clock_ms: int | None = None
+
+
+class WireListing(msgspec.Struct):
+    """All that a store has."""
+
+    epoch: int
+    next_token: int
+    held_entries: list[tuple[str, str, int, str]]
+    """Salt, part, tokens, model."""
+    partial: list[tuple[str, str, int, int]] = []
+    """Salt, part, tokens complete, tokens reserved."""
+
+
+class WireFree(msgspec.Struct, omit_defaults=True):
+    """Frees parts at once."""
+
+    parts: list[tuple[str, str]]
+    epoch: int
+    until_ms: int | None = None
+
+
+async def call(
+    clients: HttpClientPool,
+    address: str,
+    method: str,
+    path: str,
+    headers: Headers,
+    body: bytes = b"",
+    timeout_s: float = REPORT_TIMEOUT_S,
+) -> bytes:
+    """Call a target and return the body of a successful answer.
+
+    Raises:
+        TargetError: If the call fails.
+    """
+    answer = await clients.get(address).request(
+        method,
+        path,
+        headers,
+        body,
+        first_byte_timeout_s=timeout_s,
+        gap_timeout_s=timeout_s,
+    )
+    content = await answer.read()
+    if answer.status >= 300:
+        raise TargetRefusedError(f"{path}: status {answer.status}")
+    return content
+
+
+def decode(content: bytes, wire_type: type[WireT]) -> WireT:
+    """Read an answer.
+
+    Raises:
+        MalformedAnswerError: If it does not have the expected form.
+    """
+    try:
+        return msgspec.json.decode(content, type=wire_type)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise MalformedAnswerError(str(error)) from error
+
+
+class PlatformStores:
+    """Reads events and listings of stores, and frees parts."""
+
+    def __init__(self) -> None:
+        self.clients = HttpClientPool()
+
+    def close(self) -> None:
+        """Close the connections."""
+        self.clients.close()
+
+    async def read_events(self, address: str, since: int) -> StoreEvents:
+        """Return what has happened, waiting up to a second.
+
+        Raises:
+            TargetError: If the store does not answer.
+        """
+        path = f"{EVENTS}?since={since}"
+        headers = [(WAIT_MS, str(EVENTS_WAIT_MS))]
+        content = await call(
+            self.clients, address, "GET", path, headers, timeout_s=EVENTS_TIMEOUT_S
+        )
+        wire = decode(content, WireEvents)
+        events = tuple(
+            StoreEvent(sign == ADDED, (salt, part), tokens)
+            for _, sign, salt, part, tokens, _ in wire.events
+        )
+        return StoreEvents(
+            wire.epoch, wire.next_token, wire.has_gap, events, wire.clock_ms
+        )
+
+    async def read_listing(self, address: str) -> StoreListing:
+        """Return all that a store has.
+
+        Raises:
+            TargetError: If the store does not answer.
+        """
+        content = await call(
+            self.clients, address, "GET", LISTING, [], timeout_s=EVENTS_TIMEOUT_S
+        )
+        wire = decode(content, WireListing)
+        held = tuple(((s, part), tokens) for s, part, tokens, _ in wire.held_entries)
+        partial = tuple((salt, part) for salt, part, _, _ in wire.partial)
+        return StoreListing(wire.epoch, wire.next_token, held, partial)
+
+    async def free(
+        self,
+        address: str,
+        names: list[tuple[str, str]],
+        epoch: int,
+        until_ms: int | None,
+    ) -> None:
+        """Free parts at once, unless the store restarted or it is too late.
+
+        Raises:
+            TargetError: If the store does not answer or refuses.
+        """
+        body = msgspec.json.encode(WireFree(names, epoch, until_ms))
+        await call(self.clients, address, "POST", FREE, JSON, body)
+
+
 class PlatformEngines:
     """Reads reports of engines and gives them orders."""
 
@@ -84,21 +232,9 @@
         Raises:
             TargetError: If it cannot be read.
         """
-        answer = await self.clients.get(target.address).request(
-            "GET",
-            REPORT,
-            [(EXPECT_INSTANCE, target.target_id)],
-            b"",
-            first_byte_timeout_s=REPORT_TIMEOUT_S,
-            gap_timeout_s=REPORT_TIMEOUT_S,
-        )
-        body = await answer.read()
-        if answer.status != 200:
-            raise TargetRefusedError(f"report: status {answer.status}")
-        try:
-            wire = msgspec.json.decode(body, type=WireReport)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-            raise MalformedAnswerError(f"report: {error}") from error
+        headers = [(EXPECT_INSTANCE, target.target_id)]
+        content = await call(self.clients, target.address, "GET", REPORT, headers)
+        wire = decode(content, WireReport)
         versions = {model.name: model.version for model in wire.models}
         return EngineReport(wire.sequence, wire.busy, versions)
 
--- /dev/null
+++ b/src/laburnumpitch/relay/context_planner.py
@@ -0,0 +1,96 @@
+"""Plans where a target finds and leaves the kept context of a request."""
+
+from __future__ import annotations
+
+from ..errors import LaburnumpitchError
+from ..fleet.follower import Follower
+from ..fleet.keepers import Keepers, list_managed
+from ..fleet.messages import ContextGrant, GrantContext, TargetRecord
+from ..policy.placement import rank_by_hash
+from ..relay.configuration import StoreSize
+from ..transport.rpc import RpcPool
+from .request import Admitted, ContextPlan
+
+GRANT_TIMEOUT_S = 0.03
+"""Time for a keeper's answer; reading the prompt takes about as long."""
+
+TIER_SHARE = 0.5
+"""Part of the largest store's room that a store must have to hold sessions."""
+
+
+class ContextPlanner:
+    """Asks the keeper of a prompt's store what may be read and saved.
+
+    Args:
+        follower: This node's view of the fleet.
+        keepers: The keepers of this node.
+        pool: Connections to other nodes.
+        rpc_port: Port of every node.
+    """
+
+    def __init__(
+        self, follower: Follower, keepers: Keepers, pool: RpcPool, rpc_port: int
+    ) -> None:
+        self.follower = follower
+        self.keepers = keepers
+        self.pool = pool
+        self.rpc_port = rpc_port
+
+    async def plan(
+        self, admitted: Admitted, target: TargetRecord, version: int | None
+    ) -> ContextPlan:
+        """Return the plan for one sending."""
+        salt = make_salt(admitted, target, version)
+        store = self.find_store(admitted) if version is not None else None
+        if store is None:
+            return ContextPlan(salt)
+        pieces = admitted.facts.shared_pieces
+        call = GrantContext(
+            store.address,
+            salt,
+            [piece.piece_id for piece in pieces],
+            [piece.tokens for piece in pieces],
+            target.data_centre,
+        )
+        grant = await self.ask(call)
+        if grant is None:
+            return ContextPlan(salt)
+        # The last piece is the request's own and is left where it was read.
+        return ContextPlan(
+            salt,
+            tuple(store.address if may else "" for may in [*grant.may_read, False]),
+            tuple(store.address if may else "" for may in [*grant.may_save, False]),
+            grant.read_until_ms,
+        )
+
+    def find_store(self, admitted: Admitted) -> StoreSize | None:
+        """Return the store that holds a prompt's shared pieces."""
+        key = admitted.facts.affinity_key
+        stores = list_managed(self.follower.configuration)
+        if not key or not stores:
+            return None
+        least = max(store.capacity_tokens for store in stores) * TIER_SHARE
+        by_address = {s.address: s for s in stores if s.capacity_tokens >= least}
+        return by_address[rank_by_hash(key, sorted(by_address))[0]]
+
+    async def ask(self, call: GrantContext) -> ContextGrant | None:
+        """Return a keeper's answer, or None without one in time."""
+        host = self.follower.keepers.get(call.address)
+        if host is None:
+            return None
+        try:
+            if host == self.follower.node.host:
+                return await self.keepers.on_grant(call)
+            client = self.pool.get(f"{host}:{self.rpc_port}")
+            return await client.call(call, GRANT_TIMEOUT_S)
+        except LaburnumpitchError:
+            return None
+
+
+def make_salt(admitted: Admitted, target: TargetRecord, version: int | None) -> str:
+    """Return the text that keeps versions and isolated organisations apart."""
+    salt = f"v{version}" if version is not None else f"t{target.target_id}"
+    owner = admitted.organisation
+    if owner is not None and owner.is_isolated:
+        salt = f"{salt}/{owner.name}"
+    return salt
--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -18,7 +18,7 @@
 from ..transport.http_server import Headers, Responder
 from .configuration import STREAMING
 from .event_stream import EventSplitter
-from .request import Admitted, AnswerFacts, ContextPlan, Sending
+from .request import Admitted, AnswerFacts, Sending
 from .services import RelayServices
 
 CONNECT_TIMEOUT_S = 0.35
@@ -183,7 +183,7 @@
         """
         services, admitted = self.services, self.admitted
         request = admitted.request
-        sending = self.make_sending(target)
+        sending = await self.make_sending(target)
         headers = services.translator.make_headers(admitted, sending)
         is_repeatable = self.is_repeat_allowed()
         path = f"{request.path}?{request.query}" if request.query else request.path
@@ -198,7 +198,7 @@
             host=request.get_header("host"),
         )
 
-    def make_sending(self, target: TargetRecord) -> Sending:
+    async def make_sending(self, target: TargetRecord) -> Sending:
         """Return what goes to a target beside the request itself.
 
         Raises:
@@ -213,7 +213,7 @@
         if self.route.has_context:
             seen = self.services.board.get(target.target_id)
             version = dispatcher.find_version(target, seen, admitted.facts.model)
-            context = self.make_context(target, version)
+            context = await self.services.planner.plan(admitted, target, version)
         organisation = admitted.organisation
         return Sending(
             target=target,
@@ -226,14 +226,6 @@
             resume_after=self.splitter.last_event_id,
         )
 
-    def make_context(self, target: TargetRecord, version: int | None) -> ContextPlan:
-        """Return where the target finds kept context."""
-        owner = self.admitted.organisation
-        salt = f"v{version}" if version is not None else f"t{target.target_id}"
-        if owner is not None and owner.is_isolated:
-            salt = f"{salt}/{owner.name}"
-        return ContextPlan(salt)
-
     # Answers.
 
     async def take_answer(self, target: TargetRecord, answer: HttpAnswer) -> None:
--- a/src/laburnumpitch/relay/services.py
+++ b/src/laburnumpitch/relay/services.py
@@ -15,6 +15,7 @@
 from ..transport.http_client import HttpClientPool
 from ..transport.http_server import Headers
 from .board import TargetBoard
+from .context_planner import ContextPlanner
 from .dispatcher import Dispatcher
 from .request import Admitted, Translator
 from .retry_share import RetryShare
@@ -29,6 +30,7 @@
     Args:
         follower: This node's view of the fleet.
         dispatcher: Places requests on targets.
+        planner: Plans where targets find kept context.
         board: What this node has seen of each target.
         translator: The platform's words.
         retry_share: Bounds repeats.
@@ -41,6 +43,7 @@
         self,
         follower: Follower,
         dispatcher: Dispatcher,
+        planner: ContextPlanner,
         board: TargetBoard,
         translator: Translator,
         retry_share: RetryShare,
@@ -50,6 +53,7 @@
     ) -> None:
         self.follower = follower
         self.dispatcher = dispatcher
+        self.planner = planner
         self.board = board
         self.translator = translator
         self.retry_share = retry_share
