Test the relay against scripted targets; tell the fleet's facts only when they change

Cause: each answer to a held call carried members, hosts and keepers, 2.3 KB 2.5 times a second a node at 66 nodes, near the bound of 6 KB/s. Change: a sequence of their own. Also: a disk that refuses writes at the start no longer ends the process, a write that hangs no longer holds up a stop, and a node that has lost its leader reads its settings file again.

--- a/src/laburnumpitch/control/replica.py
+++ b/src/laburnumpitch/control/replica.py
@@ -151,7 +151,8 @@
         """Stop taking part; what was synced stays."""
         await cancel_and_wait(*self.tasks)
         self.fail_waiting(ControlUnavailableError("the replica is closing"))
-        self.executor.shutdown()
+        # A write that hangs with its disk must not hold up the rest.
+        self.executor.shutdown(wait=False)
         self.store.close()
 
     # Inputs.
--- a/src/laburnumpitch/fleet/core.py
+++ b/src/laburnumpitch/fleet/core.py
@@ -79,13 +79,19 @@
 
     async def start(self) -> None:
         """Take part at once if the disk has an identity, else as it gets one."""
-        self.folder.mkdir(parents=True, exist_ok=True)
+        try:
+            self.folder.mkdir(parents=True, exist_ok=True)
+        except OSError as error:
+            self.log.error("disk_failed", detail=str(error))
         if LogStore(self.folder).has_identity():
             try:
                 await self.open()
             except LogCorruptError as error:
                 self.log.error("log_corrupt", detail=error.detail)
                 self.wipe()
+            except OSError as error:
+                # The disk may be full or refuse writes for a while.
+                self.log.error("disk_failed", detail=str(error))
         self.task = asyncio.create_task(self.run())
 
     async def close(self) -> None:
--- a/src/laburnumpitch/fleet/follower.py
+++ b/src/laburnumpitch/fleet/follower.py
@@ -13,7 +13,7 @@
 from ..logging import get_logger
 from ..relay.configuration import RoutingConfiguration
 from .leader_client import LeaderClient
-from .messages import Follow, FollowAnswer, NodeRecord
+from .messages import FleetFacts, Follow, FollowAnswer, NodeRecord
 from .target_table import TargetTable
 
 CALL_TIMEOUT_S = 1.5
@@ -123,18 +123,23 @@
         self.targets.take_changes(answer.targets, now_s)
         if answer.is_settled:
             self.mark_unnamed()
-        self.weights = answer.weights
-        self.quarantined = frozenset(answer.quarantined)
-        self.keepers = answer.keepers
-        self.members = answer.members
-        self.hosts = answer.hosts
-        self.node_count = max(1, len(answer.hosts))
-        self.leader.set_hosts(member.name for member in answer.members)
+        if answer.facts is not None:
+            self.take_facts(answer.facts)
         if answer.configuration:
             self.take_configuration(answer.configuration)
         for callback in self.on_change:
             callback()
 
+    def take_facts(self, facts: FleetFacts) -> None:
+        """Keep what the leader says of the fleet."""
+        self.weights = facts.weights
+        self.quarantined = frozenset(facts.quarantined)
+        self.keepers = facts.keepers
+        self.members = facts.members
+        self.hosts = facts.hosts
+        self.node_count = max(1, len(facts.hosts))
+        self.leader.set_hosts(member.name for member in facts.members)
+
     def mark_unnamed(self) -> None:
         """Targets that a settled leader never heard of have gone silent."""
         for target_id in set(self.targets.known) - self.named:
--- a/src/laburnumpitch/fleet/hub.py
+++ b/src/laburnumpitch/fleet/hub.py
@@ -15,7 +15,7 @@
 from ..errors import LaburnumpitchError
 from ..logging import get_logger
 from .keeper_choice import assign_keepers
-from .messages import Follow, FollowAnswer, NodeRecord, TargetDied
+from .messages import FleetFacts, Follow, FollowAnswer, NodeRecord, TargetDied
 from .target_table import TargetTable
 
 HOLD_S = 0.4
@@ -98,6 +98,8 @@
         self.deaths: dict[str, set[str]] = {}
         self.quarantined: dict[str, None] = {}
         self.keepers = dict(self.get_keepers())
+        self.facts: FleetFacts | None = None
+        self.facts_sequence = 0
         self.wake()
 
     def check_term(self) -> None:
@@ -137,11 +139,6 @@
         age_s = self.get_time_s() - self.started_s
         return age_s > self.interval_s * SETTLE_INTERVALS
 
-    def count_nodes(self) -> int:
-        """Return the number of nodes that follow."""
-        horizon_s = self.get_time_s() - LIVE_S
-        return sum(f.heard_s >= horizon_s for f in self.followers.values())
-
     async def follow(self, call: Follow) -> FollowAnswer:
         """Tell a node what is new, at the latest after `HOLD_S`.
 
@@ -169,6 +166,8 @@
             self.check_term()
         follower.heard_s = self.get_time_s()
         self.check_term()
+        if self.facts is None:
+            self.update_facts()
         return self.make_answer(call)
 
     def has_news(self, call: Follow) -> bool:
@@ -186,7 +185,6 @@
         is_full = call.term != self.term
         after = 0 if is_full else call.sequence
         has_newest = call.configuration_version >= state.configuration_version
-        horizon_s = self.get_time_s() - LIVE_S
         return FollowAnswer(
             term=self.term,
             sequence=self.sequence,
@@ -195,11 +193,7 @@
             targets=self.targets.get_changes(after),
             configuration_version=state.configuration_version,
             configuration=b"" if has_newest else state.configuration,
-            weights=state.weights,
-            members=self.replica.core.members,
-            hosts=[h for h, f in self.followers.items() if f.heard_s >= horizon_s],
-            quarantined=list(self.quarantined),
-            keepers=self.keepers,
+            facts=self.facts if is_full or after < self.facts_sequence else None,
         )
 
     async def wait_seen(self, sequence: int) -> bool:
@@ -238,6 +232,7 @@
             except LaburnumpitchError:
                 continue
             self.assign_keepers()
+            self.update_facts()
             if self.is_settled and self.targets.check_silence(self.get_time_s()):
                 self.publish()
 
@@ -255,7 +250,25 @@
         if keepers != self.keepers:
             self.keepers = keepers
             self.log.info("keepers_named", keepers=keepers)
-            self.publish()
+
+    def update_facts(self) -> int:
+        """Tell of the fleet's facts if they have changed.
+
+        Returns:
+            Sequence of the newest facts.
+        """
+        horizon_s = self.get_time_s() - LIVE_S
+        facts = FleetFacts(
+            weights=dict(self.replica.machine.state.weights),
+            members=self.replica.core.members,
+            hosts=sorted(h for h, f in self.followers.items() if f.heard_s > horizon_s),
+            quarantined=list(self.quarantined),
+            keepers=self.keepers,
+        )
+        if facts != self.facts:
+            self.facts = facts
+            self.facts_sequence = self.publish()
+        return self.facts_sequence
 
     def note_death(self, notice: TargetDied) -> None:
         """Count a target that died while it ran a request."""
@@ -270,4 +283,4 @@
         self.quarantined[notice.fingerprint] = None
         while len(self.quarantined) > MAX_QUARANTINED:
             del self.quarantined[next(iter(self.quarantined))]
-        self.publish()
+        self.update_facts()
--- a/src/laburnumpitch/fleet/leader_service.py
+++ b/src/laburnumpitch/fleet/leader_service.py
@@ -199,7 +199,7 @@
         if call.version > known:
             await replica.propose(StoreWeights(call.model, call.version))
             self.log.info("weights_named", model=call.model, version=call.version)
-            await hub.wait_seen(hub.publish())
+            await hub.wait_seen(hub.update_facts())
 
     # Voters.
 
--- a/src/laburnumpitch/fleet/messages.py
+++ b/src/laburnumpitch/fleet/messages.py
@@ -114,6 +114,21 @@
     configuration_version: int
 
 
+@message
+class FleetFacts:
+    """What the leader tells of the fleet beside targets; it seldom changes."""
+
+    weights: dict[str, int]
+    """Named weight version by model."""
+    members: list[Member]
+    hosts: list[str]
+    """Hosts of nodes that follow."""
+    quarantined: list[str]
+    """Fingerprints of requests that crash targets."""
+    keepers: dict[str, str]
+    """Host of the node that keeps each store, by the store's address."""
+
+
 @message
 class FollowAnswer:
     """What is newer than a follower's state."""
@@ -128,15 +143,8 @@
     configuration_version: int
     configuration: bytes
     """Packed; empty if the follower has this version."""
-    weights: dict[str, int]
-    """Named weight version by model."""
-    members: list[Member]
-    hosts: list[str]
-    """Hosts of nodes that follow."""
-    quarantined: list[str]
-    """Fingerprints of requests that crash targets."""
-    keepers: dict[str, str]
-    """Host of the node that keeps each store, by the store's address."""
+    facts: FleetFacts | None
+    """The facts, if they are newer than the follower's."""
 
 
 @message
--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -62,10 +62,12 @@
 
     Args:
         settings: What the process was told at its start.
+        settings_path: File of the settings, read again when they may have changed.
     """
 
-    def __init__(self, settings: FleetSettings) -> None:
+    def __init__(self, settings: FleetSettings, settings_path: str) -> None:
         self.settings = settings
+        self.settings_path = settings_path
         self.log = get_logger()
         self.metrics = Metrics()
         self.is_stopping = False
@@ -226,6 +228,8 @@
         while True:
             await asyncio.sleep(SEED_CHECK_S)
             if not self.follower.is_in_touch:
+                # The settings may change without a signal.
+                self.reload()
                 self.leader.set_hosts(
                     [*self.seeds, *self.leader.names, *self.follower.hosts]
                 )
@@ -260,15 +264,16 @@
         """Whether this node takes new clients."""
         return self.follower.configuration is not None and not self.is_stopping
 
-    def reload(self, path: str) -> None:
+    def reload(self) -> None:
         """Take seeds that have changed in the settings file."""
         try:
-            seeds = read_settings(path).seed_hosts
+            seeds = read_settings(self.settings_path).seed_hosts
         except SettingsError as error:
             self.log.error("reload_failed", detail=error.detail)
             return
-        self.seeds = seeds
-        self.log.info("settings_reloaded", seeds=",".join(seeds))
+        if seeds != self.seeds:
+            self.log.info("seeds_changed", seeds=",".join(seeds))
+            self.seeds = seeds
 
     async def drain(self) -> None:
         """Say that this node is leaving, and finish what it has."""
--- a/src/laburnumpitch/serve_command.py
+++ b/src/laburnumpitch/serve_command.py
@@ -16,9 +16,6 @@
 SETTINGS_VARIABLE = "LABURNUMPITCH_SETTINGS"
 """Variable that holds the path of the settings file."""
 
-RELOAD_INTERVAL_S = 1.0
-"""Interval of looking whether the settings file has changed unsignalled."""
-
 
 def make_parser() -> argparse.ArgumentParser:
     """Return the parser of the command line."""
@@ -52,10 +49,10 @@
 
 
 async def serve(settings: FleetSettings, path: str) -> int:
-    """Run the node, and follow changes of its settings file."""
+    """Run the node, and take changes of its settings file."""
 
     def reload(node: Servable) -> None:
         assert isinstance(node, FleetNode)
-        node.reload(path)
+        node.reload()
 
-    return await serve_until_stopped(lambda: FleetNode(settings), reload)
+    return await serve_until_stopped(lambda: FleetNode(settings, path), reload)
--- /dev/null
+++ b/tests/fleet/test_target_table.py
@@ -0,0 +1,95 @@
+"""Announcements of targets in any order."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import testtools
+
+from laburnumpitch.fleet.messages import TargetRecord
+from laburnumpitch.fleet.target_table import TargetTable
+
+INTERVAL_S = 1.2
+FIRST = TargetRecord("t1", "models", "10.0.0.1:80", "dc1", 1000, 5, 4)
+LEAVING = replace(FIRST, sequence=6, is_leaving=True)
+GONE = replace(FIRST, is_gone=True)
+REBORN = replace(FIRST, born_ms=2000, sequence=1)
+SUCCESSOR = replace(FIRST, target_id="t2", service="shop", born_ms=3000, sequence=1)
+
+
+class OrderTest(testtools.TestCase):
+    """Which target remains usable after announcements in some order."""
+
+    scenarios = [
+        ("late_beat", {"records": [LEAVING, FIRST], "leaving": {"t1"}, "ids": {"t1"}}),
+        (
+            "leaves_for_good",
+            {
+                "records": [LEAVING, replace(FIRST, sequence=7)],
+                "leaving": {"t1"},
+                "ids": {"t1"},
+            },
+        ),
+        (
+            "reborn_under_its_name",
+            {"records": [LEAVING, REBORN], "leaving": set(), "ids": {"t1"}},
+        ),
+        (
+            "old_life_after_the_new",
+            {"records": [REBORN, LEAVING], "leaving": set(), "ids": {"t1"}},
+        ),
+        (
+            "address_used_again",
+            {"records": [FIRST, SUCCESSOR], "leaving": set(), "ids": {"t2"}},
+        ),
+        (
+            "late_beat_of_an_address_used_again",
+            {"records": [SUCCESSOR, FIRST], "leaving": set(), "ids": {"t2"}},
+        ),
+    ]
+
+    def test_order(self) -> None:
+        """Only the newest life of each target and address remains."""
+        table = TargetTable(INTERVAL_S)
+        for record in self.records:
+            table.take(record, 0.0)
+        records = table.get_records()
+        self.assertEqual(self.ids, {record.target_id for record in records})
+        leaving = {record.target_id for record in records if record.is_leaving}
+        self.assertEqual(self.leaving, leaving)
+
+
+class TargetTableTest(testtools.TestCase):
+    """What a leader and its followers keep."""
+
+    def test_gone_target_stays_gone(self) -> None:
+        """A late announcement does not bring a target back."""
+        table = TargetTable(INTERVAL_S)
+        table.take(FIRST, 0.0)
+        self.assertTrue(table.mark_gone("t1", 0.0))
+        self.assertFalse(table.take(replace(FIRST, sequence=9), 0.1))
+        self.assertEqual([], table.get_records())
+
+    def test_silence_and_return(self) -> None:
+        """A silent target is told of, and again when it is heard."""
+        table = TargetTable(INTERVAL_S)
+        table.take(FIRST, 0.0)
+        self.assertTrue(table.check_silence(INTERVAL_S * 3.5))
+        self.assertTrue(table.get_records()[0].is_silent)
+        self.assertTrue(table.take(replace(FIRST, sequence=6), 5.0))
+        self.assertFalse(table.get_records()[0].is_silent)
+
+    def test_old_weights_are_not_believed_again(self) -> None:
+        """An announcement sent before a load ended does not undo it."""
+        table = TargetTable(INTERVAL_S)
+        table.take(replace(FIRST, versions={"m": 1}), 0.0)
+        table.change("t1", versions={"m": 2})
+        table.take(replace(FIRST, sequence=6, versions={"m": 1}), 0.1)
+        self.assertEqual({"m": 2}, table.get_records()[0].versions)
+
+    def test_follower_keeps_newer(self) -> None:
+        """A leader's older record does not undo what a node knows."""
+        table = TargetTable(INTERVAL_S)
+        table.take_changes([GONE], 0.0)
+        table.take_changes([FIRST], 0.1)
+        self.assertEqual([], table.get_records())
--- /dev/null
+++ b/tests/platform/test_configuration.py
@@ -0,0 +1,105 @@
+"""Valid and invalid configurations."""
+
+from __future__ import annotations
+
+import copy
+
+import msgspec
+import testtools
+
+from laburnumpitch.errors import InvalidConfigurationError
+from laburnumpitch.platform.configuration import decode_configuration
+
+VALID = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "a",
+            "host": "Shop.example",
+            "path_prefix": "/a/",
+            "route_type": "streaming",
+            "timeout_ms": 4000,
+            "target_latency_ms": 400,
+            "priority": 1,
+            "split": [{"service": "m", "weight": 9}, {"service": "s", "weight": 1}],
+            "max_attempts": 2,
+            "resumable": True,
+            "sticky": True,
+        },
+        {
+            "name": "b",
+            "host": "shop.example",
+            "path_prefix": "/a/b/",
+            "route_type": "non_idempotent",
+            "timeout_ms": 2000,
+            "service": "s",
+        },
+    ],
+    "services": [{"name": "m"}, {"name": "s"}],
+    "limits": {"max_header_bytes": 1024, "max_body_bytes": 2048},
+    "tenants": [
+        {"name": "t", "api_keys": ["k1", "k2"], "priority": 2},
+        {"name": "u", "api_keys": ["k3"], "isolated": True},
+    ],
+}
+
+
+def change(path: list, value: object) -> bytes:
+    """Return the valid configuration with one value changed."""
+    document = copy.deepcopy(VALID)
+    place = document
+    for key in path[:-1]:
+        place = place[key]
+    place[path[-1]] = value
+    return msgspec.json.encode(document)
+
+
+class ValidTest(testtools.TestCase):
+    """What a valid configuration means."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.configuration = decode_configuration(msgspec.json.encode(VALID))
+
+    def test_longest_prefix_of_the_host(self) -> None:
+        """Hosts are compared without case, and longer prefixes go first."""
+        find = self.configuration.find_route
+        self.assertEqual("b", find("shop.example", "/a/b/c").name)
+        self.assertEqual("a", find("shop.example", "/a/bc").name)
+        self.assertIsNone(find("shop.example", "/a"))
+        self.assertIsNone(find("other.example", "/a/"))
+
+    def test_keys(self) -> None:
+        """Each key leads to its organisation."""
+        holders = self.configuration.organisations_by_key
+        self.assertEqual("t", holders["k2"].name)
+        self.assertTrue(holders["k3"].is_isolated)
+
+    def test_repeats(self) -> None:
+        """A stream that may be resumed may be repeated, an order may not."""
+        repeatable = [route.may_repeat for route in self.configuration.routes]
+        self.assertEqual([True, False], repeatable)
+
+
+class InvalidTest(testtools.TestCase):
+    """Configurations that are refused."""
+
+    scenarios = [
+        ("cut_short", {"body": msgspec.json.encode(VALID)[:-20]}),
+        ("not_json", {"body": b"\xff\xfe"}),
+        ("unknown_service", {"body": change(["routes", 1, "service"], "x")}),
+        ("no_service", {"body": change(["routes", 1, "service"], None)}),
+        ("same_place", {"body": change(["routes", 1, "path_prefix"], "/a/")}),
+        (
+            "no_weight",
+            {"body": change(["routes", 0, "split"], [{"service": "m", "weight": 0}])},
+        ),
+        ("no_timeout", {"body": change(["routes", 0, "timeout_ms"], 0)}),
+        ("shared_key", {"body": change(["tenants", 1, "api_keys"], ["k1"])}),
+        ("unknown_kind", {"body": change(["routes", 0, "route_type"], "x")}),
+        ("version_is_text", {"body": change(["version"], "3")}),
+    ]
+
+    def test_refused(self) -> None:
+        """Each is refused with a reason."""
+        self.assertRaises(InvalidConfigurationError, decode_configuration, self.body)
--- /dev/null
+++ b/tests/relay/relay_case.py
@@ -0,0 +1,249 @@
+"""A relay over loopback, with targets that follow a script."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from types import SimpleNamespace
+
+import testtools
+
+from laburnumpitch.fleet.messages import NodeRecord, TargetRecord
+from laburnumpitch.fleet.target_table import TargetTable
+from laburnumpitch.metrics import Metrics
+from laburnumpitch.platform.http_headers import HeaderTranslator
+from laburnumpitch.relay.board import TargetBoard
+from laburnumpitch.relay.configuration import (
+    IDEMPOTENT,
+    NON_IDEMPOTENT,
+    STREAMING,
+    Limits,
+    Organisation,
+    Route,
+    RoutingConfiguration,
+    Service,
+    Share,
+)
+from laburnumpitch.relay.dispatcher import Dispatcher
+from laburnumpitch.relay.relay_api import RelayApi
+from laburnumpitch.relay.request import ContextPlan
+from laburnumpitch.relay.retry_share import RetryShare
+from laburnumpitch.relay.services import RelayServices
+from laburnumpitch.transport.http_client import HttpClient
+from laburnumpitch.transport.http_server import HttpServer
+
+SERVICE = "shop"
+KEY = "secret"
+HOST = "127.0.0.1"
+REQUEST_ID = "a1"
+TIMEOUT_S = 10.0
+
+Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+def make_route(name: str, kind: str, **changes) -> Route:
+    """Return a route at /NAME/."""
+    route = Route(
+        name=name,
+        host=HOST,
+        prefix=f"/{name}/",
+        kind=kind,
+        timeout_s=2.0,
+        objective_s=0.2,
+        rank=1,
+        shares=(Share(SERVICE, 1.0),),
+        max_targets=2,
+        is_anonymous=False,
+        has_context=False,
+        is_resumable=False,
+        gap_s=0.3,
+    )
+    return replace(route, **changes)
+
+
+CONFIGURATION = RoutingConfiguration(
+    version=1,
+    routes=(
+        make_route("once", NON_IDEMPOTENT),
+        make_route("read", IDEMPOTENT),
+        make_route("stream", STREAMING),
+        make_route("resumed", STREAMING, is_resumable=True),
+    ),
+    services=(Service(SERVICE),),
+    limits=Limits(),
+    organisations=(Organisation("org", (KEY,), None, False),),
+)
+
+
+class NoContext:
+    """Plans no kept context."""
+
+    async def plan(self, admitted, target, version) -> ContextPlan:
+        """Return an empty plan."""
+        return ContextPlan("none")
+
+
+class ScriptedTarget:
+    """A target that answers each request by the next script.
+
+    Args:
+        scripts: What to do with each connection's requests, in order.
+    """
+
+    def __init__(self, scripts: list[bytes | None]) -> None:
+        self.scripts = scripts
+        self.requests: list[bytes] = []
+        self.closed = asyncio.Event()
+
+    async def start(self) -> int:
+        """Listen on a free port and return it."""
+        self.server = await asyncio.start_server(self.serve, HOST, 0)
+        return self.server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader, writer) -> None:
+        """Answer the requests of one connection."""
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = 0
+                for line in head.lower().split(b"\r\n"):
+                    if line.startswith(b"content-length:"):
+                        length = int(line.partition(b":")[2])
+                body = await reader.readexactly(length)
+                self.requests.append(head + body)
+                script = self.scripts.pop(0) if self.scripts else None
+                if script is None:
+                    await reader.read()
+                    return
+                writer.write(script)
+                if not is_framed(script):
+                    return
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self.closed.set()
+            writer.close()
+
+
+def is_framed(script: bytes) -> bool:
+    """Whether an answer leaves its connection open."""
+    head, _, body = script.partition(b"\r\n\r\n")
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            return int(line.partition(b":")[2]) <= len(body)
+    return script.endswith(b"0\r\n\r\n")
+
+
+def make_answer(
+    status: int = 200,
+    body: bytes = b"whole",
+    request_id: str = REQUEST_ID,
+    seal: str = "s1",
+    extra: str = "",
+    length: int | None = None,
+) -> bytes:
+    """Return an answer of a target."""
+    lines = [f"HTTP/1.1 {status} X", f"Attempt-Id: {request_id}"]
+    if seal:
+        lines.append(f"Server-Seal: {seal}")
+    if extra:
+        lines.append(extra)
+    lines.append(f"Content-Length: {len(body) if length is None else length}")
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+class RelayCase(testtools.TestCase):
+    """Starts a relay in front of scripted targets."""
+
+    def run_relay(self, scripts: list[list[bytes | None]], scenario) -> None:
+        """Run a scenario with a client against a relay and its targets."""
+
+        async def run() -> None:
+            await self.start(scripts)
+            try:
+                await asyncio.wait_for(scenario(), TIMEOUT_S)
+            finally:
+                await self.close()
+
+        asyncio.run(run())
+
+    async def start(self, scripts: list[list[bytes | None]]) -> None:
+        """Start targets and a relay."""
+        self.targets = [ScriptedTarget(list(part)) for part in scripts]
+        table = TargetTable(1.0)
+        for number, target in enumerate(self.targets):
+            address = f"{HOST}:{await target.start()}"
+            table.put(TargetRecord(f"t{number}", SERVICE, address, "dc", 1, 1, 4), 0.0)
+        node = NodeRecord(HOST, "n1", "", "", "dc", False)
+        follower = SimpleNamespace(
+            targets=table,
+            configuration=CONFIGURATION,
+            weights={},
+            quarantined=frozenset(),
+            node_count=1,
+            sequence=1,
+            on_change=[],
+            node=node,
+        )
+        board = TargetBoard(time.monotonic)
+        source = random.Random(1)
+        dispatcher = Dispatcher(follower, board, time.monotonic, source)
+        retry_share = RetryShare(0.2, 100.0, 10.0, lambda: 1, time.monotonic)
+        self.deaths: list[object] = []
+        services = RelayServices(
+            follower,
+            dispatcher,
+            NoContext(),
+            board,
+            HeaderTranslator(),
+            retry_share,
+            SimpleNamespace(call=self.note_call),
+            Metrics(),
+            time.monotonic,
+        )
+        dispatcher.on_targets()
+        # The first target is preferred, so that scripts meet in a known order.
+        for number in range(1, len(self.targets)):
+            board.get(f"t{number}").failure_rate = 0.1 * number
+        self.services = services
+        self.server = HttpServer(HOST, 0, RelayApi(services, source).handle)
+        await self.server.start()
+        self.client = HttpClient(f"{HOST}:{self.server.port}")
+
+    async def note_call(self, notice: object, timeout_s: float) -> None:
+        """Note what the leader is told."""
+        self.deaths.append(notice)
+
+    async def close(self) -> None:
+        """Stop everything."""
+        self.client.close()
+        await self.server.close()
+        self.services.close()
+        for target in self.targets:
+            target.server.close()
+
+    async def ask(
+        self, route: str, method: str = "POST", key: str = KEY, **headers: str
+    ):
+        """Send a request and return status, headers and body."""
+        answer = await self.client.request(
+            method,
+            f"/{route}/x?q=1",
+            [
+                ("attempt-id", REQUEST_ID),
+                ("authorization", f"Bearer {key}"),
+                ("deadline-ms", "1500"),
+                *((name.replace("_", "-"), value) for name, value in headers.items()),
+            ],
+            b"body",
+            first_byte_timeout_s=5.0,
+        )
+        body = await answer.read()
+        return answer.status, dict(answer.headers), body
+
+    def count_runs(self) -> list[int]:
+        """Return how many requests each target got."""
+        return [len(target.requests) for target in self.targets]
