Let a wiped replica answer its leader; close connections after their last answer

Two faults. 1. A replica with an empty disk never voted again: it looked its leader's address up among members that it does not know yet, so its answers were dropped. Found by tests/fleet (LossTest.test_lost_disk). Names of a fleet's replicas are hosts now, which tell the address. 2.

--- a/src/laburnumpitch/control/replica.py
+++ b/src/laburnumpitch/control/replica.py
@@ -88,6 +88,8 @@
         get_time_s: Monotonic time.
         snapshot_entries: Entries after which the log becomes a snapshot.
         make_machine: Makes the state machine from a snapshot.
+        get_address: Returns the address of a replica by name, where names tell;
+            a replica that joins knows no members to look it up among.
     """
 
     def __init__(
@@ -99,6 +101,7 @@
         get_time_s: Callable[[], float] = time.monotonic,
         snapshot_entries: int = SNAPSHOT_ENTRIES,
         make_machine: Callable[[bytes], Machine] = StateMachine,
+        get_address: Callable[[str], str] | None = None,
     ) -> None:
         self.store = store
         self.peers = peers
@@ -107,6 +110,7 @@
         self.get_time_s = get_time_s
         self.snapshot_entries = snapshot_entries
         self.make_machine = make_machine
+        self.get_address = get_address
         self.inputs: asyncio.Queue[Any] = asyncio.Queue()
         self.waiting: dict[int, tuple[int, Proposal]] = {}
         """Term and proposal by log index."""
@@ -287,6 +291,8 @@
     def find_address(self, replica_id: str) -> str:
         """Return a replica's address; settings go before the log."""
         name = get_replica_name(replica_id)
+        if self.get_address is not None:
+            return self.get_address(name)
         if name in self.addresses:
             return self.addresses[name]
         for member in self.core.members:
--- a/src/laburnumpitch/fleet/core.py
+++ b/src/laburnumpitch/fleet/core.py
@@ -122,6 +122,7 @@
             self.get_time_s,
             SNAPSHOT_ENTRIES,
             FleetState,
+            self.leader.find_address,
         )
         await replica.start()
         self.founding.take(identity.cluster_id, replica.core.members)
--- a/src/laburnumpitch/fleet/leader_client.py
+++ b/src/laburnumpitch/fleet/leader_client.py
@@ -20,12 +20,16 @@
 
     def __init__(self, pool: RpcPool, hosts: Iterable[str], rpc_port: int) -> None:
         self.rpc_port = rpc_port
-        super().__init__(pool, {host: f"{host}:{rpc_port}" for host in hosts})
+        super().__init__(pool, {host: self.find_address(host) for host in hosts})
+
+    def find_address(self, host: str) -> str:
+        """Return the address of a node; all nodes have the same port."""
+        return f"{host}:{self.rpc_port}"
 
     def set_hosts(self, hosts: Iterable[str]) -> None:
         """Ask these hosts from now on, beside the leader known last."""
         wanted = dict.fromkeys([*hosts, self.leader])
-        self.addresses = {host: f"{host}:{self.rpc_port}" for host in wanted}
+        self.addresses = {host: self.find_address(host) for host in wanted}
         self.names = list(self.addresses)
 
     def follow_hint(self, asked: str, hint: str) -> None:
--- a/src/laburnumpitch/transport/http_server.py
+++ b/src/laburnumpitch/transport/http_server.py
@@ -244,6 +244,10 @@
                 return
             if connection.their_state is not h11.DONE:
                 return
+            if self.is_draining:
+                # The answer may have begun before the stop, without saying that
+                # the connection ends with it.
+                return
             connection.start_next_cycle()
 
     async def reject(self, responder: Responder, status: int, code: str) -> None:
--- /dev/null
+++ b/tests/fleet/test_fleet.py
@@ -0,0 +1,228 @@
+"""Nodes that found a cluster, agree, and lose and regain each other."""
+
+from __future__ import annotations
+
+import msgspec
+
+from laburnumpitch.control.raft import LEADER
+
+from .fleet_case import Fleet, FleetCase, make_configuration, wait_until
+
+
+def make_beat(number: int, state: str = "ready", **changes) -> bytes:
+    """Return a target's announcement."""
+    beat = {
+        "service": "shop",
+        "address": "127.0.0.1:9",
+        "zone": "dc",
+        "state": state,
+        "slots": 4,
+        "sequence": number,
+        "born": 1000,
+    }
+    return msgspec.json.encode(beat | changes)
+
+
+class FoundingTest(FleetCase):
+    """First starts in different orders."""
+
+    scenarios = [
+        ("in_order", {"order": [0, 1, 2, 3]}),
+        ("backwards", {"order": [3, 2, 1, 0]}),
+        ("first_seed_last", {"order": [1, 3, 2, 0]}),
+    ]
+
+    def test_one_cluster(self) -> None:
+        """All nodes with a disk vote in one cluster, and all nodes obey it."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await fleet.start(*(fleet.hosts[number] for number in self.order))
+            await fleet.put_configuration(fleet.hosts[3], make_configuration(7))
+            await wait_until(lambda: fleet.list_versions() == {7})
+            self.assertEqual(set(fleet.hosts[:3]), fleet.list_voters())
+            clusters = {node.founding.cluster_id for node in fleet.nodes.values()}
+            self.assertEqual(1, len(clusters))
+
+        self.run_fleet(4, 3, scenario)
+
+
+class ConfigurationTest(FleetCase):
+    """What is acknowledged, refused, in force and read back."""
+
+    def test_versions(self) -> None:
+        """The highest version stays; others are acknowledged or refused."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await fleet.start()
+            await fleet.put_configuration(fleet.hosts[0], make_configuration(5))
+            other = make_configuration(5, limits={"max_body_bytes": 1})
+            for body, status in (
+                (make_configuration(5), 200),
+                (other, 200),
+                (make_configuration(4), 200),
+                (make_configuration(3, services=[]), 400),
+                (b'{"version": 9', 400),
+                (make_configuration(8), 200),
+            ):
+                answer = await fleet.call(
+                    fleet.hosts[2], "PUT", "/-/configuration", body
+                )
+                self.assertEqual(status, answer[0], body)
+            for host in fleet.hosts:
+                answer = await fleet.call(host, "GET", "/-/configuration")
+                self.assertEqual((200, make_configuration(8)), answer)
+            self.assertEqual({8}, fleet.list_versions())
+
+        self.run_fleet(3, 2, scenario)
+
+    def test_unsure_read_is_refused(self) -> None:
+        """Without a majority no configuration is read out, but it is obeyed."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await fleet.start()
+            await fleet.put_configuration(fleet.hosts[0], make_configuration(5))
+            await wait_until(lambda: fleet.list_versions() == {5})
+            await fleet.stop(*fleet.hosts[1:])
+            await wait_until(lambda: fleet.get_leader() is None)
+            status, _ = await fleet.call(fleet.hosts[0], "GET", "/-/configuration")
+            self.assertEqual(503, status)
+            self.assertEqual({5}, fleet.list_versions())
+
+        self.run_fleet(3, 3, scenario)
+
+    def test_whole_core_restarts(self) -> None:
+        """What was acknowledged is there after all nodes were ended."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await fleet.start()
+            await fleet.put_configuration(fleet.hosts[0], make_configuration(6))
+            await fleet.stop()
+            await fleet.start()
+            await wait_until(fleet.get_leader)
+            await wait_until(lambda: fleet.list_versions() == {6})
+            answer = await fleet.call(fleet.hosts[3], "GET", "/-/configuration")
+            self.assertEqual((200, make_configuration(6)), answer)
+
+        self.run_fleet(4, 3, scenario)
+
+
+class LossTest(FleetCase):
+    """Lost leaders and lost disks."""
+
+    def test_leader_is_lost(self) -> None:
+        """Another one takes over and nothing is older than before."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await fleet.start()
+            await fleet.put_configuration(fleet.hosts[0], make_configuration(5))
+            lost = fleet.get_leader().settings.host
+            await fleet.stop(lost)
+            await wait_until(fleet.get_leader)
+            host = next(host for host in fleet.hosts if host != lost)
+            await fleet.put_configuration(host, make_configuration(6))
+            await fleet.start(lost)
+            await wait_until(lambda: fleet.list_versions() == {6})
+
+        self.run_fleet(3, 3, scenario)
+
+    def test_lost_disk(self) -> None:
+        """An empty disk votes again only as a new replica that has caught up."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await fleet.start()
+            await fleet.put_configuration(fleet.hosts[0], make_configuration(5))
+            host = fleet.hosts[1]
+            before = fleet.nodes[host].core.replica.core.replica_id
+            await fleet.stop(host)
+            fleet.wipe(host)
+            await fleet.start(host)
+            core = fleet.nodes[host].core
+            await wait_until(
+                lambda: core.is_voter() and core.replica.machine.state.configuration
+            )
+            self.assertNotEqual(before, core.replica.core.replica_id)
+            await wait_until(lambda: fleet.list_voters() == set(fleet.hosts))
+
+        self.run_fleet(3, 3, scenario)
+
+
+class AnnouncementTest(FleetCase):
+    """Targets that come and leave."""
+
+    async def announce(self, fleet: Fleet, host: str, body: bytes) -> int:
+        """Send an announcement to a node."""
+        status, _ = await fleet.call(host, "PUT", "/-/instances/i-1", body)
+        return status
+
+    def list_states(self, fleet: Fleet) -> list[list[bool]]:
+        """Return for each node whether each target that it knows leaves."""
+        return [
+            [record.is_leaving for record in node.follower.targets.get_records()]
+            for node in fleet.nodes.values()
+        ]
+
+    def test_acknowledged_means_known(self) -> None:
+        """When a leaving target has its answer, every node knows of it."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await fleet.start()
+            await fleet.put_configuration(fleet.hosts[0], make_configuration(5))
+            await wait_until(lambda: fleet.list_versions() == {5})
+            self.assertEqual(
+                200, await self.announce(fleet, fleet.hosts[2], make_beat(1))
+            )
+            self.assertEqual([[False]] * 4, self.list_states(fleet))
+            leaving = make_beat(2, "draining")
+            self.assertEqual(200, await self.announce(fleet, fleet.hosts[3], leaving))
+            self.assertEqual([[True]] * 4, self.list_states(fleet))
+            self.assertEqual(
+                200, await self.announce(fleet, fleet.hosts[1], make_beat(1))
+            )
+            self.assertEqual([[True]] * 4, self.list_states(fleet))
+            await fleet.call(fleet.hosts[0], "DELETE", "/-/instances/i-1")
+            self.assertEqual([[]] * 4, self.list_states(fleet))
+
+        self.run_fleet(4, 2, scenario)
+
+    def test_garbage(self) -> None:
+        """What cannot be read names no target, and the others stay."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await fleet.start()
+            await fleet.put_configuration(fleet.hosts[0], make_configuration(5))
+            await self.announce(fleet, fleet.hosts[0], make_beat(1))
+            for body in (
+                b"\xff",
+                b"[]",
+                make_beat(2, "resting"),
+                make_beat(3, slots="four"),
+                make_beat(4, address="nowhere"),
+            ):
+                status, _ = await fleet.call(
+                    fleet.hosts[0], "PUT", "/-/instances/i-2", body
+                )
+                self.assertEqual(400, status, body)
+            self.assertEqual([[False]], self.list_states(fleet))
+
+        self.run_fleet(1, 1, scenario)
+
+
+class CutLeaderTest(FleetCase):
+    """A leader that no longer reaches a majority."""
+
+    def test_it_acknowledges_nothing(self) -> None:
+        """A leaving target that reports to it gets no acknowledgement."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await fleet.start()
+            await fleet.put_configuration(fleet.hosts[0], make_configuration(5))
+            leader = fleet.get_leader()
+            host = leader.settings.host
+            await fleet.stop(*(other for other in fleet.hosts if other != host))
+            await wait_until(lambda: leader.core.replica.core.role != LEADER)
+            status, _ = await fleet.call(
+                host, "PUT", "/-/instances/i-1", make_beat(1, "draining")
+            )
+            self.assertEqual(503, status)
+
+        self.run_fleet(3, 3, scenario)
