Tell nodes what the fleet has at each target; find dark targets together

Change: held calls carry what a node has at each target and bring back the others' sums; a place is a slot of the fleet's; a target that one node cannot reach and that is not heard for 1.2 intervals is told of at once; a doubtful target is tried by a new connection with 0.1 s to connect; away from its home a request costs the fetch of its context.

--- a/src/laburnumpitch/fleet/follower.py
+++ b/src/laburnumpitch/fleet/follower.py
@@ -13,7 +13,14 @@
 from ..logging import get_logger
 from ..relay.configuration import RoutingConfiguration
 from .leader_client import LeaderClient
-from .messages import FleetFacts, FleetSnapshot, Follow, FollowAnswer, NodeRecord
+from .messages import (
+    FleetFacts,
+    FleetLoad,
+    FleetSnapshot,
+    Follow,
+    FollowAnswer,
+    NodeRecord,
+)
 from .target_table import TargetTable
 
 CALL_TIMEOUT_S = 1.5
@@ -70,6 +77,10 @@
         """Targets that this term's leader has named."""
         self.heard_s = float("-inf")
         self.is_lost = True
+        self.get_loads: Callable[[], dict[str, FleetLoad]] = dict
+        """Returns what this node has at targets."""
+        self.other_loads: dict[str, FleetLoad] = {}
+        """What the other nodes have at targets."""
         self.on_change: list[Callable[[], None]] = []
         self.log = get_logger()
         self.task: asyncio.Task[None] | None = None
@@ -100,7 +111,7 @@
     def make_call(self) -> Follow:
         """Return a call that says what this node has."""
         version = self.configuration.version if self.configuration else -1
-        return Follow(self.node, self.term, self.sequence, version)
+        return Follow(self.node, self.term, self.sequence, version, self.get_loads())
 
     def note_failure(self, error: LaburnumpitchError) -> None:
         """Log once that the leader is lost."""
@@ -121,7 +132,9 @@
             self.log.info("leader_found", leader=self.leader.leader, term=answer.term)
         self.is_lost = False
         self.heard_s = now_s
+        is_same = (self.term, self.sequence) == (answer.term, answer.sequence)
         self.term, self.sequence = answer.term, answer.sequence
+        self.other_loads = answer.loads
         self.named.update(record.target_id for record in answer.targets)
         self.targets.take_changes(answer.targets, now_s)
         if answer.is_settled:
@@ -130,6 +143,8 @@
             self.take_facts(answer.facts)
         if answer.configuration:
             self.take_configuration(answer.configuration)
+        if is_same and not answer.configuration:
+            return
         for callback in self.on_change:
             callback()
 
--- a/src/laburnumpitch/fleet/hub.py
+++ b/src/laburnumpitch/fleet/hub.py
@@ -15,10 +15,18 @@
 from ..errors import LaburnumpitchError
 from ..logging import get_logger
 from .keeper_choice import assign_keepers
-from .messages import FleetFacts, Follow, FollowAnswer, NodeRecord, TargetDied
+from .load_totals import LoadTotals
+from .messages import (
+    FleetFacts,
+    Follow,
+    FollowAnswer,
+    NodeRecord,
+    TargetDied,
+    TargetUnreachable,
+)
 from .target_table import TargetTable
 
-HOLD_S = 0.4
+HOLD_S = 0.3
 """Time for which a call waits for news; bounds the calls of idle nodes."""
 
 LIVE_S = 1.0
@@ -34,6 +42,10 @@
 CHECK_INTERVAL_S = 0.3
 """Interval of looking for silent targets."""
 
+UNREACHABLE_INTERVALS = 1.2
+"""Announcement intervals of silence after which one node's failure to reach a target
+is believed."""
+
 KEEPER_DELAY_S = 1.0
 """Time after a leader's election before it names keepers."""
 
@@ -98,6 +110,7 @@
         self.deaths: dict[str, set[str]] = {}
         self.quarantined: dict[str, None] = {}
         self.keepers = dict(self.get_keepers())
+        self.loads = LoadTotals()
         self.facts: FleetFacts | None = None
         self.facts_sequence = 0
         self.wake()
@@ -152,6 +165,7 @@
         if call.node.host not in self.followers:
             self.log.info("node_follows", host=call.node.host, term=self.term)
         self.followers[call.node.host] = follower
+        self.loads.take(call.node.host, call.loads)
         self.wake()
         deadline_s = self.get_time_s() + HOLD_S
         while not self.has_news(call):
@@ -194,6 +208,7 @@
             configuration_version=state.configuration_version,
             configuration=b"" if has_newest else state.configuration,
             facts=self.facts if is_full or after < self.facts_sequence else None,
+            loads=self.loads.get_others(call.node.host),
         )
 
     async def wait_seen(self, sequence: int) -> bool:
@@ -232,10 +247,35 @@
             except LaburnumpitchError:
                 continue
             self.assign_keepers()
+            self.drop_lost_loads()
             self.update_facts()
             if self.is_settled and self.targets.check_silence(self.get_time_s()):
                 self.publish()
 
+    def drop_lost_loads(self) -> None:
+        """Forget the loads of nodes that are not heard any more."""
+        horizon_s = self.get_time_s() - LIVE_S
+        for host in list(self.loads.reports):
+            if self.followers[host].heard_s < horizon_s:
+                self.loads.drop(host)
+
+    def note_unreachable(self, notice: TargetUnreachable) -> None:
+        """Tell every node of a target that is neither reached nor heard."""
+        self.check_term()
+        known = self.targets.known.get(notice.target_id)
+        if known is None:
+            return
+        silence_s = self.get_time_s() - known.heard_s
+        if silence_s < self.interval_s * UNREACHABLE_INTERVALS:
+            return
+        if self.targets.mark_silent(notice.target_id):
+            self.log.info(
+                "target_unreachable",
+                target=notice.target_id,
+                silence_s=round(silence_s, 2),
+            )
+            self.wake()
+
     def assign_keepers(self) -> None:
         """Name a keeper for each store, once nodes have had time to follow."""
         now_s = self.get_time_s()
--- a/src/laburnumpitch/fleet/leader_service.py
+++ b/src/laburnumpitch/fleet/leader_service.py
@@ -38,6 +38,7 @@
     StoreWeights,
     TargetDied,
     TargetRecord,
+    TargetUnreachable,
 )
 
 PACK_LEVEL = 1
@@ -87,6 +88,7 @@
         server.on(ReadConfiguration, self.on_read_configuration)
         server.on(PutWeights, self.on_put_weights)
         server.on(TargetDied, self.on_target_died)
+        server.on(TargetUnreachable, self.on_target_unreachable)
         server.on(JoinCore, self.on_join_core)
 
     def require(self) -> tuple[Replica, Hub]:
@@ -116,6 +118,11 @@
         _, hub = self.require()
         hub.note_death(notice)
 
+    async def on_target_unreachable(self, notice: TargetUnreachable) -> None:
+        """Take note of a target that a node cannot reach."""
+        _, hub = self.require()
+        hub.note_unreachable(notice)
+
     # Targets.
 
     async def on_announce(self, call: Announce) -> AnnounceAnswer:
--- a/src/laburnumpitch/fleet/messages.py
+++ b/src/laburnumpitch/fleet/messages.py
@@ -86,6 +86,16 @@
     target_id: str
 
 
+@message
+class FleetLoad:
+    """What nodes have at a target."""
+
+    running: int
+    """Requests."""
+    tokens: int
+    """Prompt tokens of these requests."""
+
+
 @message
 class Follow:
     """Asks for all that is newer; acknowledges what was sent before."""
@@ -94,6 +104,8 @@
     term: int
     sequence: int
     configuration_version: int
+    loads: dict[str, FleetLoad]
+    """What this node has at each target where it has anything."""
 
 
 @message
@@ -156,6 +168,15 @@
     """Packed; empty if the follower has this version."""
     facts: FleetFacts | None
     """The facts, if they are newer than the follower's."""
+    loads: dict[str, FleetLoad]
+    """What the other nodes have at each target, some hundred milliseconds old."""
+
+
+@message
+class TargetUnreachable:
+    """A node could not reach a target."""
+
+    target_id: str
 
 
 @message
--- a/src/laburnumpitch/fleet/store_books.py
+++ b/src/laburnumpitch/fleet/store_books.py
@@ -29,6 +29,9 @@
 MAX_BACKLOG_S = 0.06
 """Transfers ahead of a read, in time, above which reading the prompt is faster."""
 
+HOT_S = 0.5
+"""Time since a part's last read within which engines still have it themselves."""
+
 FREE_BATCH = 64
 """Parts freed by one call."""
 
@@ -123,8 +126,10 @@
             self.parts.move_to_end(name)
             if is_busy or part.tokens != tokens:
                 return PartGrant(False, False)
+            is_hot = part.read_until_s > now_s + READ_S - HOT_S
             part.read_until_s = max(part.read_until_s, now_s + READ_S)
-            self.add_transfer(tokens, now_s, cost)
+            if not is_hot:
+                self.add_transfer(tokens, now_s, cost)
             return PartGrant(True, False)
         is_written = part is not None and part.write_until_s > now_s
         room = self.capacity_tokens * FILL_SHARE
--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -144,6 +144,7 @@
         settings = self.settings
         source = random.Random()
         board = TargetBoard(time.monotonic)
+        self.follower.get_loads = board.get_loads
         dispatcher = Dispatcher(
             self.follower, board, time.monotonic, source, settings.version_s
         )
--- a/src/laburnumpitch/policy/placement.py
+++ b/src/laburnumpitch/policy/placement.py
@@ -1,8 +1,8 @@
 """Chooses a target for a relayed request by the time that it would take there.
 
 Answers steady load with returning prompts: related requests go to one target, by
-rendezvous hashing that every node computes alike, as long as reading their context
-again elsewhere takes longer than waiting there.
+rendezvous hashing that every node computes alike, as long as bringing their context
+elsewhere takes longer than waiting there.
 """
 
 from __future__ import annotations
@@ -14,8 +14,8 @@
 READ_TOKENS_PER_S = 120_000.0
 """Prompt tokens that an engine reads in a second, the slowest engine's sheet."""
 
-SILENT_COST_S = 0.15
-"""Cost of a target that has stopped announcing itself; it may still serve."""
+DOUBTFUL_COST_S = 0.6
+"""Cost of a target that nobody hears and that has not served here lately."""
 
 FAILING_COST_S = 1.0
 """Cost of a target that fails every request."""
@@ -41,7 +41,7 @@
     target_id: str
     slots: int
     running: int
-    """Requests of this node that the target has."""
+    """Requests of all nodes that the target has, as far as this node knows."""
     unread_tokens: int
     """Prompt tokens of this node's requests that wait for their first event."""
     service_s: float
@@ -49,13 +49,15 @@
     failure_rate: float
     """Share of failed requests lately."""
     is_suspect: bool
-    is_silent: bool
+    is_doubtful: bool
     is_outdated: bool
     """Whether its weights are older than the named ones."""
     is_remote: bool
     is_loading: bool = False
     """Whether it is changing its weights and takes no new requests."""
     cold_s: float = 0.0
+    transfer_s: float = 0.0
+    """Time to bring the request's shared context there, or to read it anew."""
 
 
 def rank_by_hash(key: str, target_ids: Sequence[str]) -> list[str]:
@@ -68,22 +70,17 @@
     return sorted(target_ids, key=weigh)
 
 
-def estimate_s(candidate: Candidate, node_count: int) -> float:
-    """Return the expected wait at a target, without reading the prompt.
-
-    The other nodes are taken to send as much as this one beyond what a target
-    serves at once.
-    """
+def estimate_s(candidate: Candidate) -> float:
+    """Return the expected wait at a target, without reading the prompt."""
     wait_s = candidate.unread_tokens / READ_TOKENS_PER_S
-    share = max(1.0, candidate.slots / node_count)
-    excess = max(0.0, candidate.running + 1 - share)
-    wait_s += excess * candidate.service_s / share
+    excess = max(0.0, candidate.running + 1 - candidate.slots)
+    wait_s += excess * candidate.service_s / candidate.slots
     wait_s += candidate.running / candidate.slots * candidate.service_s
     wait_s += candidate.failure_rate * FAILING_COST_S
     wait_s += min(candidate.cold_s, 1.0)
     wait_s += SUSPECT_COST_S * candidate.is_suspect
     wait_s += LOADING_COST_S * candidate.is_loading
-    wait_s += SILENT_COST_S * candidate.is_silent
+    wait_s += DOUBTFUL_COST_S * candidate.is_doubtful
     wait_s += OUTDATED_COST_S * candidate.is_outdated
     return wait_s + REMOTE_COST_S * candidate.is_remote
 
@@ -91,8 +88,6 @@
 def choose_target(
     candidates: Sequence[Candidate],
     affinity_key: str,
-    shared_tokens: int,
-    node_count: int,
     tie_breaks: Sequence[float],
 ) -> Candidate | None:
     """Return the candidate with the least expected time, or None.
@@ -100,8 +95,6 @@
     Args:
         candidates: Targets that may serve the request.
         affinity_key: Name of the context that related requests share.
-        shared_tokens: Tokens of that context.
-        node_count: Nodes that send requests.
         tie_breaks: A random number from 0 to 1 for each candidate.
     """
     if not candidates:
@@ -110,11 +103,12 @@
     if affinity_key:
         ids = [c.target_id for c in candidates if not (c.is_suspect or c.is_loading)]
         home = rank_by_hash(affinity_key, ids)[0] if ids else ""
-    read_s = shared_tokens / READ_TOKENS_PER_S
 
     def get_cost(pair: tuple[Candidate, float]) -> tuple[float, float]:
         candidate, tie_break = pair
-        cost = estimate_s(candidate, node_count)
-        return (cost + (0.0 if candidate.target_id == home else read_s), tie_break)
+        cost = estimate_s(candidate)
+        if candidate.target_id != home:
+            cost += candidate.transfer_s
+        return (cost, tie_break)
 
     return min(zip(candidates, tie_breaks, strict=True), key=get_cost)[0]
--- a/src/laburnumpitch/relay/board.py
+++ b/src/laburnumpitch/relay/board.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from ..fleet.messages import TargetRecord
+from ..fleet.messages import FleetLoad, TargetRecord
 from ..logging import get_logger
 
 FAILURE_WEIGHT = 0.15
@@ -24,6 +24,9 @@
 MAX_SUSPECT_S = 4.0
 """Longest such time; a trial follows it."""
 
+TRUST_S = 2.0
+"""Time for which an answer shows that a target serves, though nobody hears it."""
+
 FULL_S = 0.05
 """Time for which a target that says it is full is avoided."""
 
@@ -39,8 +42,8 @@
     service_s: float = FIRST_SERVICE_S
     suspect_until_s: float = 0.0
     suspect_s: float = SUSPECT_S
-    progress_s: float = 0.0
-    """When the target last sent anything."""
+    served_s: float = float("-inf")
+    """When the target last answered whole."""
     is_replaced: bool = False
     """Whether another target was met at its address."""
     versions: dict[str, tuple[int, float]] | None = None
@@ -74,6 +77,14 @@
                 del self.seen[target_id]
         self.wake()
 
+    def get_loads(self) -> dict[str, FleetLoad]:
+        """Return what this node has at targets."""
+        return {
+            target_id: FleetLoad(seen.running, seen.running_tokens)
+            for target_id, seen in self.seen.items()
+            if seen.running
+        }
+
     def wake(self) -> None:
         """Let waiting requests look again."""
         self.changed.set()
@@ -97,10 +108,13 @@
         seen.running_tokens -= tokens
         self.wake()
 
-    def note_progress(self, target: TargetRecord) -> None:
-        """Note that a target sent something."""
+    def is_doubtful(self, target: TargetRecord) -> bool:
+        """Whether a target may be dark: nobody hears it, and it serves nobody here."""
         seen = self.get(target.target_id)
-        seen.progress_s = self.get_time_s()
+        now_s = self.get_time_s()
+        if seen.suspect_until_s > now_s or seen.suspect_s > SUSPECT_S:
+            return True
+        return target.is_silent and now_s - seen.served_s > TRUST_S
 
     def note_success(self, target: TargetRecord, duration_s: float) -> None:
         """Note a whole answer."""
@@ -109,6 +123,7 @@
         seen.service_s += (duration_s - seen.service_s) * TIME_WEIGHT
         seen.suspect_s = SUSPECT_S
         seen.suspect_until_s = 0.0
+        seen.served_s = self.get_time_s()
 
     def note_failure(self, target: TargetRecord, is_unreachable: bool) -> None:
         """Note a failed request.
--- a/src/laburnumpitch/relay/context_planner.py
+++ b/src/laburnumpitch/relay/context_planner.py
@@ -4,19 +4,15 @@
 
 from ..errors import LaburnumpitchError
 from ..fleet.follower import Follower
-from ..fleet.keepers import Keepers, list_managed
+from ..fleet.keepers import Keepers
 from ..fleet.messages import ContextGrant, GrantContext, TargetRecord
-from ..policy.placement import rank_by_hash
-from ..relay.configuration import StoreSize
 from ..transport.rpc import RpcPool
 from .request import Admitted, ContextPlan
+from .store_choice import find_store
 
 GRANT_TIMEOUT_S = 0.03
 """Time for a keeper's answer; reading the prompt takes about as long."""
 
-TIER_SHARE = 0.5
-"""Part of the largest store's room that a store must have to hold sessions."""
-
 
 class ContextPlanner:
     """Asks the keeper of a prompt's store what may be read and saved.
@@ -41,7 +37,10 @@
     ) -> ContextPlan:
         """Return the plan for one sending."""
         salt = make_salt(admitted, target, version)
-        store = self.find_store(admitted) if version is not None else None
+        store = None
+        if version is not None:
+            key = admitted.facts.affinity_key
+            store = find_store(self.follower.configuration, key)
         if store is None:
             return ContextPlan(salt)
         pieces = admitted.facts.shared_pieces
@@ -63,16 +62,6 @@
             grant.read_until_ms,
         )
 
-    def find_store(self, admitted: Admitted) -> StoreSize | None:
-        """Return the store that holds a prompt's shared pieces."""
-        key = admitted.facts.affinity_key
-        stores = list_managed(self.follower.configuration)
-        if not key or not stores:
-            return None
-        least = max(store.capacity_tokens for store in stores) * TIER_SHARE
-        by_address = {s.address: s for s in stores if s.capacity_tokens >= least}
-        return by_address[rank_by_hash(key, sorted(by_address))[0]]
-
     async def ask(self, call: GrantContext) -> ContextGrant | None:
         """Return a keeper's answer, or None without one in time."""
         host = self.follower.keepers.get(call.address)
--- a/src/laburnumpitch/relay/dispatcher.py
+++ b/src/laburnumpitch/relay/dispatcher.py
@@ -5,31 +5,37 @@
 import asyncio
 import bisect
 import itertools
-import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from ..errors import NoTargetError, OverloadedError
 from ..fleet.follower import Follower
+from ..fleet.load_totals import NOTHING
 from ..fleet.messages import TargetRecord
-from ..policy.placement import Candidate, choose_target
+from ..fleet.store_keeper import REMOTE_COST
+from ..policy.placement import READ_TOKENS_PER_S, Candidate, choose_target
 from .board import Seen, TargetBoard
+from .configuration import StoreSize
 from .request import Admitted
+from .store_choice import find_store
 
 MAX_WAIT_OBJECTIVES = 0.6
 """Longest wait for a place, in objectives; what waits longer is late anyway."""
 
-SHARE_FACTOR = 2.0
-"""What a node may use of a target beyond an even share over the nodes, since
-clients are spread unevenly."""
+SLOT_SHARE = 1.0
+"""Part of a target's slots that the fleet uses at once."""
+
+QUEUED_AT_TARGET = 1
+"""Requests beyond the slots, so that a slot that comes free has work."""
+
+TOKEN_SHARE = 1.15
+"""Prompt tokens at an engine over its room; parts that requests share count once
+there, and several times here."""
 
 VERSION_SHARE = 0.9
 """Part of the time for older weights that is used; a request takes time to begin."""
 
-MIN_RUNNING = 2
-"""Requests that a node may always have at a target."""
-
 
 @dataclass(order=True)
 class Waiter:
@@ -170,13 +176,14 @@
             for target in self.by_service.get(admitted.service, ())
             if target.target_id not in excluded and self.has_place(target, admitted)
         ]
-        candidates = [self.describe(target, admitted) for target in targets]
         facts = admitted.facts
+        store = None
+        if admitted.route.has_context:
+            store = find_store(self.follower.configuration, facts.affinity_key)
+        candidates = [self.describe(target, admitted, store) for target in targets]
         chosen = choose_target(
             candidates,
             facts.affinity_key if admitted.route.has_context else "",
-            facts.shared_tokens,
-            self.follower.node_count,
             [self.random.random() for _ in candidates],
         )
         if chosen is None:
@@ -192,37 +199,56 @@
             return False
         if self.is_expired(target, seen, admitted.facts.model):
             return False
-        nodes = self.follower.node_count
-        most = max(MIN_RUNNING, math.ceil(target.slots * SHARE_FACTOR / nodes))
-        if seen.running >= most:
+        others = self.follower.other_loads.get(target.target_id, NOTHING)
+        running = others.running + seen.running
+        if running >= target.slots * SLOT_SHARE + QUEUED_AT_TARGET:
             return False
         configuration = self.follower.configuration
         service = configuration.services_by_name.get(target.service)
-        if service is None or service.engine is None or not seen.running:
+        if service is None or service.engine is None or not running:
             return True
-        room = service.engine.context_tokens * SHARE_FACTOR / nodes
-        tokens = seen.running_tokens + admitted.facts.prompt_tokens
-        return tokens <= max(room, 2.0 * admitted.facts.prompt_tokens)
+        tokens = others.tokens + seen.running_tokens + admitted.facts.prompt_tokens
+        return tokens <= service.engine.context_tokens * TOKEN_SHARE
+
+    def get_transfer_s(
+        self, target: TargetRecord, admitted: Admitted, store: StoreSize | None
+    ) -> float:
+        """Return the time to bring a request's shared context to a target."""
+        tokens = admitted.facts.shared_tokens
+        read_s = tokens / READ_TOKENS_PER_S
+        if store is None or store.address not in self.follower.keepers:
+            return read_s
+        service = self.follower.configuration.services_by_name[target.service]
+        if service.engine is None:
+            return read_s
+        transfer_s = tokens * service.engine.token_bytes / store.link_bytes_per_s
+        if target.data_centre != store.data_centre:
+            transfer_s *= REMOTE_COST
+        return min(read_s, store.first_s + transfer_s)
 
-    def describe(self, target: TargetRecord, admitted: Admitted) -> Candidate:
+    def describe(
+        self, target: TargetRecord, admitted: Admitted, store: StoreSize | None
+    ) -> Candidate:
         """Return a target as the policy sees it."""
         seen = self.board.get(target.target_id)
+        others = self.follower.other_loads.get(target.target_id, NOTHING)
         model = admitted.facts.model
         version = self.find_version(target, seen, model)
         named = self.follower.weights.get(model, 0)
         return Candidate(
             target.target_id,
             max(1, target.slots),
-            seen.running,
+            seen.running + others.running,
             seen.unread_tokens,
             seen.service_s,
             seen.failure_rate,
             seen.suspect_until_s > self.get_time_s(),
-            target.is_silent,
+            self.board.is_doubtful(target),
             version is not None and version < named,
             target.data_centre != self.follower.node.data_centre,
             target.is_loading,
             target.cold_s,
+            self.get_transfer_s(target, admitted, store),
         )
 
     def is_expired(self, target: TargetRecord, seen: Seen, model: str) -> bool:
--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -25,6 +25,9 @@
 """Time to connect to a target; a millisecond is usual, and a target that is cut
 off does not answer at all."""
 
+TRIAL_TIMEOUT_S = 0.1
+"""Time to connect to a target that may be dark."""
+
 MAX_IDLE_ONCE_S = 0.5
 """Longest idle time of a connection for a request that may run once; a target may
 drop it as the request is written."""
@@ -185,7 +188,13 @@
         request = admitted.request
         sending = await self.make_sending(target)
         headers = services.translator.make_headers(admitted, sending)
-        is_repeatable = self.is_repeat_allowed()
+        is_doubtful = services.board.is_doubtful(target)
+        max_idle_s = MAX_IDLE_ONCE_S
+        if is_doubtful:
+            # A new connection shows at once whether the target is there.
+            max_idle_s = 0.0
+        elif self.is_repeat_allowed():
+            max_idle_s = MAX_IDLE_REPEATABLE_S
         path = f"{request.path}?{request.query}" if request.query else request.path
         return await services.clients.get(target.address).request(
             request.method,
@@ -193,8 +202,8 @@
             headers,
             request.body,
             first_byte_timeout_s=self.get_silence_s(),
-            max_idle_s=MAX_IDLE_REPEATABLE_S if is_repeatable else MAX_IDLE_ONCE_S,
-            connect_timeout_s=CONNECT_TIMEOUT_S,
+            max_idle_s=max_idle_s,
+            connect_timeout_s=TRIAL_TIMEOUT_S if is_doubtful else CONNECT_TIMEOUT_S,
             host=request.get_header("host"),
         )
 
@@ -244,7 +253,6 @@
             raise MalformedAnswerError("the answer is for another request")
         if facts.is_encoded:
             raise MalformedAnswerError("the body is encoded")
-        services.board.note_progress(target)
         if answer.status not in SUCCESS:
             await self.take_failure(answer)
             return
@@ -337,7 +345,6 @@
     def note_event(self, target: TargetRecord) -> None:
         """Note that a target sent a part of a stream."""
         services = self.services
-        services.board.note_progress(target)
         if self.is_unread:
             self.is_unread = False
             services.board.note_first(target, self.admitted.facts.prompt_tokens)
@@ -388,6 +395,8 @@
         is_late = self.remaining_s <= 0
         if not is_late or not error.sent:
             services.board.note_failure(target, is_unreachable(error))
+            if is_unreachable(error):
+                services.note_unreachable(target)
         services.note_outcome("failed", self.admitted, target, error)
         self.excluded.add(target.target_id)
         if not error.sent:
--- a/src/laburnumpitch/relay/services.py
+++ b/src/laburnumpitch/relay/services.py
@@ -9,7 +9,7 @@
 from ..errors import LaburnumpitchError
 from ..fleet.follower import Follower
 from ..fleet.leader_client import LeaderClient
-from ..fleet.messages import TargetDied, TargetRecord
+from ..fleet.messages import TargetDied, TargetRecord, TargetUnreachable
 from ..logging import get_logger
 from ..metrics import Metrics
 from ..transport.http_client import HttpClientPool
@@ -20,8 +20,11 @@
 from .request import Admitted, Translator
 from .retry_share import RetryShare
 
-DEATH_TIMEOUT_S = 1.5
-"""Time to tell the leader of a target's death."""
+NOTICE_TIMEOUT_S = 1.5
+"""Time to tell the leader of a target's trouble."""
+
+TELL_S = 0.7
+"""Least time between two notices of one target."""
 
 
 class RelayServices:
@@ -61,6 +64,8 @@
         self.metrics = metrics
         self.get_time_s = get_time_s
         self.clients = HttpClientPool()
+        self.told_s: dict[str, float] = {}
+        """When the leader was last told of a target."""
         self.tasks: set[asyncio.Task[Any]] = set()
         self.log = get_logger()
         follower.on_change.append(self.retain_clients)
@@ -118,16 +123,31 @@
             view=self.follower.sequence,
         )
 
-    def note_death(self, admitted: Admitted, target: TargetRecord) -> None:
-        """Tell the leader that a target died while it ran a request."""
-        notice = TargetDied(admitted.fingerprint, target.target_id, target.born_ms)
-        task = asyncio.create_task(self.tell_death(notice))
+    def note_unreachable(self, target: TargetRecord) -> None:
+        """Tell the leader of a target that cannot be reached, now and then."""
+        now_s = self.get_time_s()
+        if target.is_silent or now_s < self.told_s.get(target.target_id, 0) + TELL_S:
+            return
+        self.told_s[target.target_id] = now_s
+        self.start_telling(TargetUnreachable(target.target_id))
+
+    def start_telling(self, notice: TargetDied | TargetUnreachable) -> None:
+        """Send a notice to the leader without waiting."""
+        task = asyncio.create_task(self.tell(notice))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def tell_death(self, notice: TargetDied) -> None:
+    def note_death(self, admitted: Admitted, target: TargetRecord) -> None:
+        """Tell the leader that a target died while it ran a request."""
+        self.start_telling(
+            TargetDied(admitted.fingerprint, target.target_id, target.born_ms)
+        )
+
+    async def tell(self, notice: TargetDied | TargetUnreachable) -> None:
         """Send a notice to the leader."""
         try:
-            await self.leader.call(notice, DEATH_TIMEOUT_S)
+            await self.leader.call(notice, NOTICE_TIMEOUT_S)
         except LaburnumpitchError as error:
-            self.log.info("death_untold", code=error.code)
+            self.log.info(
+                "notice_untold", notice=type(notice).__name__, code=error.code
+            )
--- a/src/laburnumpitch/transport/http_client.py
+++ b/src/laburnumpitch/transport/http_client.py
@@ -20,7 +20,7 @@
 CONNECT_TIMEOUT_S = 1.0
 """Time to connect."""
 
-USER_TIMEOUT_MS = 1500
+USER_TIMEOUT_MS = 1000
 """Time for the other end's machine to acknowledge what was sent."""
 
 MAX_UNREAD_BYTES = 256 * 1024
--- a/tests/fleet/test_store_books.py
+++ b/tests/fleet/test_store_books.py
@@ -84,10 +84,18 @@
         """Reads stop when waiting for the link takes longer than reading anew."""
         self.books.note_added(NAME, 1600)
         self.books.bytes_per_s = 1600 * 1000 / MAX_BACKLOG_S / 2
-        grants = [self.ask(0.0) for _ in range(5)]
+        for number in range(5):
+            self.books.note_added((SALT, f"p{number}"), 1600)
+        grants = [self.ask(0.0, (f"p{number}", 1600)) for number in range(5)]
         self.assertEqual(READ, grants[0])
         self.assertEqual(NOTHING, grants[-1])
 
+    def test_hot_part_needs_no_transfer(self) -> None:
+        """A part that was just read is still in the engines' own memory."""
+        self.books.note_added(NAME, 1600)
+        self.books.bytes_per_s = 1600 * 1000 / MAX_BACKLOG_S / 2
+        self.assertEqual([READ] * 9, [self.ask(0.01 * n) for n in range(9)])
+
     def test_listing(self) -> None:
         """A listing corrects the books and names what broke off."""
         self.books.note_added((SALT, "lost"), 1600)
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -21,7 +21,7 @@
     service_s=0.1,
     failure_rate=0.0,
     is_suspect=False,
-    is_silent=False,
+    is_doubtful=False,
     is_outdated=False,
     is_remote=False,
 )
@@ -29,12 +29,13 @@
 HOME = rank_by_hash("session", ["a", "b"])[0]
 AWAY = "b" if HOME == "a" else "a"
 SESSION_TOKENS = 7500
+TRANSFER_S = SESSION_TOKENS / READ_TOKENS_PER_S
 
 
-def choose(candidates: list[Candidate], key: str = "", tokens: int = 0) -> str:
+def choose(candidates: list[Candidate], key: str = "") -> str:
     """Return the chosen target."""
     ties = [0.1 * number for number in range(len(candidates))]
-    return choose_target(candidates, key, tokens, 9, ties).target_id
+    return choose_target(candidates, key, ties).target_id
 
 
 class PlainTest(testtools.TestCase):
@@ -44,7 +45,7 @@
         ("fewer_requests", {"worse": replace(FREE, running=3)}),
         ("fails", {"worse": replace(FREE, failure_rate=0.5)}),
         ("failed_right_now", {"worse": replace(FREE, is_suspect=True)}),
-        ("silent", {"worse": replace(FREE, is_silent=True)}),
+        ("doubtful", {"worse": replace(FREE, is_doubtful=True)}),
         ("loads_weights", {"worse": replace(FREE, is_loading=True)}),
         ("outdated", {"worse": replace(FREE, is_outdated=True)}),
         ("remote", {"worse": replace(FREE, is_remote=True)}),
@@ -62,7 +63,7 @@
 
     scenarios = [
         ("suspect", {"left": replace(FREE, is_suspect=True)}),
-        ("silent", {"left": replace(FREE, is_silent=True)}),
+        ("doubtful", {"left": replace(FREE, is_doubtful=True)}),
         ("failing", {"left": replace(FREE, failure_rate=1.0)}),
     ]
 
@@ -77,18 +78,18 @@
     def make(self, **home) -> list[Candidate]:
         """Return two targets, of which the home has something changed."""
         return [
-            replace(FREE, target_id=HOME, **home),
-            replace(FREE, target_id=AWAY),
+            replace(FREE, target_id=HOME, transfer_s=TRANSFER_S, **home),
+            replace(FREE, target_id=AWAY, transfer_s=TRANSFER_S),
         ]
 
     def test_home(self) -> None:
         """They go where the context is."""
-        self.assertEqual(HOME, choose(self.make(), "session", SESSION_TOKENS))
+        self.assertEqual(HOME, choose(self.make(), "session"))
 
     def test_home_is_busy(self) -> None:
         """They leave when waiting takes longer than reading the context anew."""
         wait = int(2 * SESSION_TOKENS)
-        found = choose(self.make(unread_tokens=wait), "session", SESSION_TOKENS)
+        found = choose(self.make(unread_tokens=wait), "session")
         self.assertEqual(AWAY, found)
 
     def test_outdated_targets_share_a_rollout_s_load(self) -> None:
--- a/tests/relay/relay_case.py
+++ b/tests/relay/relay_case.py
@@ -185,6 +185,8 @@
             quarantined=frozenset(),
             node_count=1,
             sequence=1,
+            other_loads={},
+            keepers={},
             on_change=[],
             node=node,
         )
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from laburnumpitch.errors import TargetError
+from laburnumpitch.fleet.messages import TargetDied
 from laburnumpitch.transport.http_server import Headers
 
 from .relay_case import RelayCase, make_answer
@@ -230,7 +231,8 @@
             self.assertEqual((EVENTS, True), (body, is_whole))
             self.assertEqual("s1", headers["server-seal"])
             self.assertIn(b"last-event-id: 1\r\n", self.targets[1].requests[0].lower())
-            self.assertEqual(1, len(self.deaths))
+            deaths = [d for d in self.deaths if isinstance(d, TargetDied)]
+            self.assertEqual(1, len(deaths))
 
         rest = REST_OF_STREAM.replace(b"s1", b"s2")
         self.run_relay([[BROKEN_STREAM], [rest]], scenario)
