--- /dev/null
+++ b/tests/fleet/test_weights_commander.py
@@ -0,0 +1,156 @@
+"""Orders to load weights, answered, lost and late."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass, field, replace
+from types import SimpleNamespace
+
+import testtools
+
+from laburnumpitch.errors import NotLeaderError, TargetTimeoutError
+from laburnumpitch.fleet.messages import TargetRecord
+from laburnumpitch.fleet.orders import ACCEPTED, BUSY, EngineReport, WeightOrder
+from laburnumpitch.fleet.target_table import TargetTable
+from laburnumpitch.fleet.weights_commander import WeightsCommander
+
+MODEL = "m"
+WAIT_S = 15.0
+
+
+@dataclass
+class StandInEngine:
+    """An engine that loads at once, or treats its first orders in other ways."""
+
+    lost_orders: int = 0
+    """Orders at first that are carried out, but not answered."""
+    ignored_orders: int = 0
+    """Orders at first that never arrive."""
+    version: int = 1
+    order_count: int = 0
+    tokens: list[int] = field(default_factory=list)
+
+    def take(self, order: WeightOrder) -> str:
+        """Take an order."""
+        order.before_write()
+        if self.ignored_orders:
+            self.ignored_orders -= 1
+            raise TargetTimeoutError("no answer")
+        if order.after_orders != self.order_count:
+            return BUSY
+        self.order_count += 1
+        self.version = order.version
+        self.tokens.append(order.token)
+        if self.lost_orders:
+            self.lost_orders -= 1
+            raise TargetTimeoutError("no answer")
+        return ACCEPTED
+
+
+class StandInEngines:
+    """Calls to stand-in engines.
+
+    Args:
+        engines: Engines by target.
+    """
+
+    def __init__(self, engines: dict[str, StandInEngine]) -> None:
+        self.engines = engines
+        self.loading = 0
+        self.most_loading = 0
+
+    async def read_report(self, target: TargetRecord) -> EngineReport:
+        """Return an engine's state."""
+        engine = self.engines[target.target_id]
+        return EngineReport(engine.order_count, False, {MODEL: engine.version})
+
+    async def order_weights(self, target: TargetRecord, order: WeightOrder) -> str:
+        """Give an engine an order."""
+        return self.engines[target.target_id].take(order)
+
+
+class StandInHub:
+    """A leader's hub with some engines.
+
+    Args:
+        engines: Names of the engines.
+    """
+
+    def __init__(self, engines: list[str]) -> None:
+        self.term = 3
+        self.is_leader = True
+        self.targets = TargetTable(1.0)
+        for name in engines:
+            record = TargetRecord(name, "s", name, "dc", 1, 1, 4)
+            self.targets.put(replace(record, versions={MODEL: 1}), 0.0)
+        state = SimpleNamespace(weights={MODEL: 2})
+        self.replica = SimpleNamespace(
+            core=SimpleNamespace(term=3, leader_since_s=time.monotonic()),
+            machine=SimpleNamespace(state=state),
+        )
+        self.most_loading = 0
+
+    def check_term(self) -> None:
+        """Check that this node leads."""
+        if not self.is_leader:
+            raise NotLeaderError("")
+
+    def change_target(self, target_id: str, **changes) -> None:
+        """Take what the commander found out."""
+        self.targets.change(target_id, **changes)
+        loading = sum(record.is_loading for record in self.targets.get_records())
+        self.most_loading = max(self.most_loading, loading)
+
+    def list_versions(self) -> set[int]:
+        """Return the versions that nodes are told of."""
+        return {record.versions[MODEL] for record in self.targets.get_records()}
+
+
+class RolloutTest(testtools.TestCase):
+    """Five engines that get a new version."""
+
+    scenarios = [
+        ("all_answer", {"engine": {}}),
+        ("an_answer_is_lost", {"engine": {"lost_orders": 1}}),
+        ("orders_never_arrive", {"engine": {"ignored_orders": 2}}),
+    ]
+
+    def run_commander(self, hub: StandInHub, engines: StandInEngines, until) -> None:
+        """Run a commander until a condition holds."""
+
+        async def run() -> None:
+            core = SimpleNamespace(hub=hub, node=SimpleNamespace(host="n1"))
+            commander = WeightsCommander(core, engines, 0.0, time.monotonic)
+            task = asyncio.create_task(commander.run())
+            async with asyncio.timeout(WAIT_S):
+                while not until():
+                    await asyncio.sleep(0.01)
+            task.cancel()
+
+        asyncio.run(run())
+
+    def test_rollout(self) -> None:
+        """Each engine loads once, two at a time, under the term's token."""
+        names = [f"e{number}" for number in range(5)]
+        hub = StandInHub(names)
+        engines = StandInEngines({name: StandInEngine(**self.engine) for name in names})
+        self.run_commander(hub, engines, lambda: hub.list_versions() == {2})
+        for engine in engines.engines.values():
+            self.assertEqual([3], engine.tokens)
+        self.assertEqual(2, hub.most_loading)
+
+    def test_lost_lease(self) -> None:
+        """No order is written once another node may lead."""
+        hub = StandInHub(["e0"])
+        engine = StandInEngine()
+        engines = StandInEngines({"e0": engine})
+        read_report = engines.read_report
+
+        async def lose_lease(target: TargetRecord) -> EngineReport:
+            hub.is_leader = False
+            return await read_report(target)
+
+        engines.read_report = lose_lease
+        self.run_commander(hub, engines, lambda: not hub.is_leader)
+        self.assertEqual([], engine.tokens)
--- /dev/null
+++ b/tests/platform/test_folder.py
@@ -0,0 +1,76 @@
+"""The folder that translates stays small, and its words stay in it."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import testtools
+
+PACKAGE = Path(__file__).resolve().parents[2] / "src" / "laburnumpitch"
+FOLDER = PACKAGE / "platform"
+LARGEST_SHARE = 0.1
+
+# Without what the product's own interface has too: `deadline-ms` is one of its settings.
+WORDS = (
+    "attempt-id",
+    "server-seal",
+    "not-executed",
+    "expect-instance",
+    "expect-version",
+    "cache-salt",
+    "kv-source",
+    "kv-target",
+    "kv-until",
+    "prefix-hash",
+    "token-usage",
+    "request-priority",
+    "weight-versions",
+    "path_prefix",
+    "route_type",
+    "target_latency_ms",
+    "max_attempts",
+    "kv_store_addr",
+    "kv_capacity",
+    "api_keys",
+    "heartbeat_url",
+    "cold_remaining_ms",
+    "held_entries",
+    "next_token",
+    "switch_mode",
+    "precondition",
+    "version-put",
+    "/-/readyz",
+    "kv-events",
+    "kv-list",
+    "kv-free",
+    "is_bootstrap",
+    "internal_ports",
+)
+
+
+def read_lines(path: Path) -> list[str]:
+    """Return the lines of a source file."""
+    return path.read_text().splitlines()
+
+
+class FolderTest(testtools.TestCase):
+    """The package's sources."""
+
+    def test_no_platform_words_elsewhere(self) -> None:
+        """Nothing outside the folder knows the platform's names."""
+        pattern = re.compile(r"(?<![\w-])(" + "|".join(WORDS) + r")(?![\w-])")
+        found = [
+            f"{path.relative_to(PACKAGE)}:{number}: {line.strip()}"
+            for path in sorted(PACKAGE.rglob("*.py"))
+            if FOLDER not in path.parents
+            for number, line in enumerate(read_lines(path), 1)
+            if pattern.search(line)
+        ]
+        self.assertEqual([], found)
+
+    def test_folder_is_small(self) -> None:
+        """It is under a tenth of the sources."""
+        sizes = {path: len(read_lines(path)) for path in PACKAGE.rglob("*.py")}
+        own = sum(size for path, size in sizes.items() if FOLDER in path.parents)
+        self.assertLess(own, sum(sizes.values()) * LARGEST_SHARE)
