Tell new seeds of the cluster, since they may know nothing of it

Change: a node that knows the cluster tells it to seeds that do not follow; the settings file is looked at twice a second. Test: SeedsTest, which waits in vain without the change.

--- a/src/laburnumpitch/fleet/founding.py
+++ b/src/laburnumpitch/fleet/founding.py
@@ -10,7 +10,7 @@
 
 import asyncio
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from ..control.log_store import make_first_replica_id
 from ..control.raft_messages import Member
@@ -85,6 +85,9 @@
         if call.node.has_disk and call.node.host not in self.gathered:
             self.gathered[call.node.host] = call.node
             self.newest_s = self.get_time_s()
+        if call.cluster_id and not self.cluster_id:
+            self.take(call.cluster_id, call.members)
+            self.log.info("cluster_told", cluster=call.cluster_id, by=call.node.host)
         snapshot = self.make_snapshot() if call.needs_snapshot else None
         return HelloAnswer(self.cluster_id, self.members, snapshot)
 
@@ -107,7 +110,7 @@
         client = self.pool.get(f"{seed}:{self.rpc_port}")
         try:
             answer = await client.call(
-                Hello(self.node, self.cluster_id, True), HELLO_TIMEOUT_S
+                Hello(self.node, self.cluster_id, self.members, True), HELLO_TIMEOUT_S
             )
         except LaburnumpitchError:
             return
@@ -122,6 +125,20 @@
         self.cluster_id = cluster_id
         self.members = members
 
+    async def tell(self, followers: Collection[str]) -> None:
+        """Tell seeds that do not follow which cluster this is.
+
+        After an exchange of the seeds, those who know nothing ask seeds that may
+        know nothing either.
+
+        Args:
+            followers: Hosts that follow the leader.
+        """
+        call = Hello(self.node, self.cluster_id, self.members, False)
+        for seed in self.seeds:
+            if seed != self.node.host and seed not in followers:
+                self.pool.get(f"{seed}:{self.rpc_port}").notify(call)
+
     def is_due(self) -> bool:
         """Whether this node has to found the cluster now."""
         if not self.is_first_start or not self.gathered:
--- a/src/laburnumpitch/fleet/messages.py
+++ b/src/laburnumpitch/fleet/messages.py
@@ -140,6 +140,8 @@
     node: NodeRecord
     cluster_id: str
     """Empty if the sender belongs to none yet."""
+    members: list[Member]
+    """Members that the sender knows."""
     needs_snapshot: bool
 
 
--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 import time
 from pathlib import Path
@@ -48,8 +49,8 @@
 DRAIN_POLL_S = 0.05
 """Interval of looking whether requests are still in flight."""
 
-SEED_CHECK_S = 1.0
-"""Interval of looking whether the leader is lost, to ask the seeds again."""
+SEED_CHECK_S = 0.5
+"""Interval of looking whether the leader is lost, or seeds do not follow it."""
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -69,6 +70,7 @@
     def __init__(self, settings: FleetSettings, settings_path: str) -> None:
         self.settings = settings
         self.settings_path = settings_path
+        self.settings_changed_s = 0.0
         self.log = get_logger()
         self.metrics = Metrics()
         self.is_stopping = False
@@ -235,10 +237,13 @@
             [*self.leader.names, *(member.name for member in self.founding.members)]
         )
         while True:
+            self.founding.members = self.follower.members or self.founding.members
+            is_in_touch = self.follower.is_in_touch
+            await self.founding.tell(self.follower.hosts if is_in_touch else ())
             await asyncio.sleep(SEED_CHECK_S)
+            # The settings may change without a signal.
+            self.reload()
             if not self.follower.is_in_touch:
-                # The settings may change without a signal.
-                self.reload()
                 self.leader.set_hosts(
                     [*self.seeds, *self.leader.names, *self.follower.hosts]
                 )
@@ -276,13 +281,18 @@
     def reload(self) -> None:
         """Take seeds that have changed in the settings file."""
         try:
+            changed_s = os.stat(self.settings_path).st_mtime
+            if changed_s == self.settings_changed_s:
+                return
+            self.settings_changed_s = changed_s
             seeds = read_settings(self.settings_path).seed_hosts
-        except SettingsError as error:
-            self.log.error("reload_failed", detail=error.detail)
+        except (SettingsError, OSError) as error:
+            self.log.error("reload_failed", detail=str(error))
             return
         if seeds != self.seeds:
             self.log.info("seeds_changed", seeds=",".join(seeds))
             self.seeds = seeds
+            self.founding.seeds = seeds
 
     async def drain(self) -> None:
         """Say that this node is leaving, and finish what it has."""
--- a/tests/fleet/fleet_case.py
+++ b/tests/fleet/fleet_case.py
@@ -56,6 +56,7 @@
         self.disks = disks
         self.nodes: dict[str, FleetNode] = {}
         self.has_begun = False
+        self.seeds = tuple(self.hosts[:3])
 
     def make_settings(self, host: str) -> FleetSettings:
         """Return a node's settings."""
@@ -70,7 +71,7 @@
             control_address=f"{host}:{control}",
             rpc_port=rpc,
             metrics_port=metrics,
-            seed_hosts=tuple(self.hosts[:3]),
+            seed_hosts=self.seeds,
             is_first_start=not self.has_begun,
             data_folder=str(self.folder / host) if has_disk else "",
             announce_interval_s=0.4,
@@ -87,7 +88,8 @@
     async def start(self, *hosts: str) -> None:
         """Start nodes; all of them by default."""
         for host in hosts or self.hosts:
-            node = FleetNode(self.make_settings(host), "")
+            node = FleetNode(self.make_settings(host), str(self.folder))
+            node.reload = lambda: None
             self.nodes[host] = node
             await node.start()
 
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -146,6 +146,25 @@
         self.run_fleet(3, 3, scenario)
 
 
+class SeedsTest(FleetCase):
+    """Seeds that are exchanged for others."""
+
+    def test_no_seed_knows_the_cluster(self) -> None:
+        """Nodes that know nothing are found by those that do."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await fleet.start()
+            await fleet.put_configuration(fleet.hosts[0], make_configuration(5))
+            await fleet.stop()
+            fleet.wipe(fleet.hosts[0])
+            fleet.seeds = (fleet.hosts[0], fleet.hosts[3], fleet.hosts[4])
+            await fleet.start()
+            await wait_until(lambda: fleet.list_versions() == {5})
+            await wait_until(lambda: fleet.list_voters() == set(fleet.hosts[:3]))
+
+        self.run_fleet(5, 3, scenario)
+
+
 class AnnouncementTest(FleetCase):
     """Targets that come and leave."""
 
