Compare two targets instead of all, since loads of other nodes are late

Change: the home and one other target at random are compared; twice a target's slots are allowed, and waiting requests look again with each answer.

--- a/src/laburnumpitch/fleet/follower.py
+++ b/src/laburnumpitch/fleet/follower.py
@@ -79,6 +79,8 @@
         self.is_lost = True
         self.get_loads: Callable[[], dict[str, FleetLoad]] = dict
         """Returns what this node has at targets."""
+        self.on_loads: Callable[[], None] = lambda: None
+        """Called when the other nodes' loads are news, and nothing else."""
         self.other_loads: dict[str, FleetLoad] = {}
         """What the other nodes have at targets."""
         self.on_change: list[Callable[[], None]] = []
@@ -144,6 +146,7 @@
         if answer.configuration:
             self.take_configuration(answer.configuration)
         if is_same and not answer.configuration:
+            self.on_loads()
             return
         for callback in self.on_change:
             callback()
--- a/src/laburnumpitch/policy/placement.py
+++ b/src/laburnumpitch/policy/placement.py
@@ -27,6 +27,9 @@
 """Cost of weights that are older than the named ones: they lose a fifth of an answer's
 worth, while a late answer loses four fifths."""
 
+SAMPLED_TARGETS = 2
+"""Targets that are compared, the home of the context among them."""
+
 REMOTE_COST_S = 0.001
 """Cost of another data centre: two ways between them."""
 
@@ -105,4 +108,20 @@
             cost += candidate.transfer_s
         return (cost, tie_break)
 
-    return min(zip(candidates, tie_breaks, strict=True), key=get_cost)[0]
+    pairs = list(zip(candidates, tie_breaks, strict=True))
+    return min(sample(pairs, home), key=get_cost)[0]
+
+
+def sample(
+    pairs: list[tuple[Candidate, float]], home: str
+) -> list[tuple[Candidate, float]]:
+    """Return the home and some others at random.
+
+    What nodes know of each other's load is late. If each took the least loaded of
+    all targets, all would take the same one.
+    """
+    sound = [p for p in pairs if not (p[0].is_suspect or p[0].is_doubtful)]
+    if len(sound) <= SAMPLED_TARGETS:
+        return pairs
+    sound.sort(key=lambda pair: (pair[0].target_id != home, pair[1]))
+    return sound[:SAMPLED_TARGETS]
--- a/src/laburnumpitch/relay/dispatcher.py
+++ b/src/laburnumpitch/relay/dispatcher.py
@@ -27,13 +27,11 @@
 """Part of the time left that is spent waiting, so that the rest serves for an answer
 or a return."""
 
-SLOT_SHARE = 1.0
-"""Part of a target's slots that the fleet uses at once."""
+SLOT_SHARE = 2.0
+"""Requests that the fleet has at a target over its slots; what a node knows of the
+others is late, and a target queues a few."""
 
-QUEUED_AT_TARGET = 1
-"""Requests beyond the slots, so that a slot that comes free has work."""
-
-TOKEN_SHARE = 1.15
+TOKEN_SHARE = 1.6
 """Prompt tokens at an engine over its room; parts that requests share count once
 there, and several times here."""
 
@@ -81,6 +79,7 @@
         self.numbers = itertools.count()
         self.by_service: dict[str, list[TargetRecord]] = {}
         follower.on_change.append(self.on_targets)
+        follower.on_loads = self.pump
 
     def on_targets(self) -> None:
         """Take changed targets."""
@@ -208,7 +207,7 @@
             return False
         others = self.follower.other_loads.get(target.target_id, NOTHING)
         running = others.running + seen.running
-        if running >= target.slots * SLOT_SHARE + QUEUED_AT_TARGET:
+        if running >= target.slots * SLOT_SHARE:
             return False
         configuration = self.follower.configuration
         service = configuration.services_by_name.get(target.service)
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+from collections import Counter
 from dataclasses import replace
 
 import testtools
@@ -71,6 +73,25 @@
         self.assertEqual("a", choose([self.left]))
 
 
+class ManyNodesTest(testtools.TestCase):
+    """Many nodes that all know the same late loads."""
+
+    def test_they_do_not_all_take_the_same_target(self) -> None:
+        """No target gets more than a few times its share."""
+        source = random.Random(7)
+        targets = [
+            replace(FREE, target_id=f"t{number}", running=number % 5)
+            for number in range(20)
+        ]
+        chosen: Counter[str] = Counter()
+        for _ in range(400):
+            ties = [source.random() for _ in targets]
+            chosen[choose_target(targets, "", ties).target_id] += 1
+        self.assertLess(max(chosen.values()), 3 * 400 / len(targets))
+        busiest = sum(chosen[t.target_id] for t in targets if t.running == 4)
+        self.assertLess(busiest, 400 / len(targets) * 4)
+
+
 class AffinityTest(testtools.TestCase):
     """Requests that share context."""
 
