--- a/src/laburnumpitch/policy/placement.py
+++ b/src/laburnumpitch/policy/placement.py
@@ -27,6 +27,10 @@
 """Cost of weights that are older than the named ones: they lose a fifth of an answer's
 worth, while a late answer loses four fifths."""
 
+REPORT_AGE_S = 1.0
+"""Age at which half of a report of other nodes' load is believed, for requests that
+last as long; reports are half a second old, and every node acts on the same one."""
+
 SAMPLED_TARGETS = 2
 """Targets that are compared, the home of the context among them."""
 
@@ -40,8 +44,8 @@
 
     target_id: str
     slots: int
-    running: int
-    """Requests of all nodes that the target has, as far as this node knows."""
+    running: float
+    """Requests that the target has, as far as this node believes."""
     unread_tokens: int
     """Prompt tokens of this node's requests that wait for their first event."""
     service_s: float
@@ -58,6 +62,21 @@
     """Time to bring the request's shared context there, or to read it anew."""
 
 
+def believe_others(known: float, mean: float, service_s: float) -> float:
+    """Return what other nodes are believed to have at a target by now.
+
+    A report is late by about `REPORT_AGE_S`; the shorter requests are, the less of
+    it still holds, and the mean over all targets is the better guess.
+
+    Args:
+        known: Requests of other nodes at the target, as reported.
+        mean: The same over all targets of the service.
+        service_s: Usual time of a request there.
+    """
+    weight = service_s / (service_s + REPORT_AGE_S)
+    return mean + (known - mean) * weight
+
+
 def rank_by_hash(key: str, target_ids: Sequence[str]) -> list[str]:
     """Return targets in the key's own order, the same on every node."""
 
--- a/src/laburnumpitch/relay/dispatcher.py
+++ b/src/laburnumpitch/relay/dispatcher.py
@@ -14,7 +14,12 @@
 from ..fleet.load_totals import NOTHING
 from ..fleet.messages import TargetRecord
 from ..fleet.store_keeper import REMOTE_COST
-from ..policy.placement import READ_TOKENS_PER_S, Candidate, choose_target
+from ..policy.placement import (
+    READ_TOKENS_PER_S,
+    Candidate,
+    believe_others,
+    choose_target,
+)
 from .board import Seen, TargetBoard
 from .configuration import StoreSize
 from .request import Admitted
@@ -185,7 +190,8 @@
         store = None
         if admitted.route.has_context:
             store = find_store(self.follower.configuration, facts.affinity_key)
-        candidates = [self.describe(target, admitted, store) for target in targets]
+        mean = self.get_mean_load(targets)
+        candidates = [self.describe(t, admitted, store, mean) for t in targets]
         chosen = choose_target(
             candidates,
             facts.affinity_key if admitted.route.has_context else "",
@@ -232,8 +238,20 @@
             transfer_s *= REMOTE_COST
         return min(read_s, store.first_s + transfer_s)
 
+    def get_mean_load(self, targets: list[TargetRecord]) -> float:
+        """Return what the other nodes have at a target on average."""
+        if not targets:
+            return 0.0
+        loads = self.follower.other_loads
+        running = sum(loads.get(t.target_id, NOTHING).running for t in targets)
+        return running / len(targets)
+
     def describe(
-        self, target: TargetRecord, admitted: Admitted, store: StoreSize | None
+        self,
+        target: TargetRecord,
+        admitted: Admitted,
+        store: StoreSize | None,
+        mean: float,
     ) -> Candidate:
         """Return a target as the policy sees it."""
         seen = self.board.get(target.target_id)
@@ -244,7 +262,7 @@
         return Candidate(
             target.target_id,
             max(1, target.slots),
-            seen.running + others.running,
+            seen.running + believe_others(others.running, mean, seen.service_s),
             seen.unread_tokens,
             seen.service_s,
             seen.failure_rate,
