--- a/src/laburnumpitch/errors.py
+++ b/src/laburnumpitch/errors.py
@@ -198,6 +198,11 @@
         self.sent = sent
         self.has_died = has_died
 
+    @property
+    def is_unreachable(self) -> bool:
+        """Whether the target cannot be reached now."""
+        return not self.sent or self.has_died
+
 
 class TargetTimeoutError(TargetError):
     """A target did not connect, answer or go on in time."""
@@ -205,6 +210,11 @@
     code = "target_timeout"
     status = 504
 
+    @property
+    def is_unreachable(self) -> bool:
+        """Whether the target cannot be reached now."""
+        return True
+
 
 class MalformedAnswerError(TargetError):
     """A target's answer is malformed, oversized or for another request."""
--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 from ..errors import (
     DeadlineExceededError,
     MalformedAnswerError,
@@ -11,14 +9,14 @@
     OverloadedError,
     TargetError,
     TargetRefusedError,
-    TargetTimeoutError,
 )
 from ..fleet.messages import TargetRecord
 from ..transport.http_client import HttpAnswer
 from ..transport.http_server import Headers, Responder
 from .configuration import STREAMING
 from .event_stream import EventSplitter
-from .request import Admitted, AnswerFacts, Sending
+from .patience import get_first_silence_s, get_later_silence_s
+from .request import Admitted, AnswerFacts, KeptAnswer, Sending
 from .services import RelayServices
 
 CONNECT_TIMEOUT_S = 0.35
@@ -38,17 +36,6 @@
 MAX_REJECTIONS = 3
 """Targets that may reject a request before it is refused."""
 
-SILENCE_OBJECTIVES = 3.0
-"""Objectives without a sign of life from a target, after which a request that may
-be repeated goes to another one."""
-
-MIN_SILENCE_S = 1.0
-"""Least such time."""
-
-SILENCE_GAPS = 3.0
-"""Pauses between events, in those that are on time, after which a stream that can
-go on elsewhere does."""
-
 PROMISES = frozenset((408, 421, 429, 503))
 """Statuses that tell a client that its request has not run."""
 
@@ -56,15 +43,6 @@
 FIRST_FAILURE = 500
 
 
-@dataclass(frozen=True)
-class KeptAnswer:
-    """A target's failure, delivered if nothing better comes."""
-
-    status: int
-    headers: Headers
-    body: bytes
-
-
 class RelayRun:
     """Relays one request.
 
@@ -164,19 +142,12 @@
                 services.board.note_first(target, tokens)
             services.dispatcher.release(target, self.admitted)
 
-    def get_silence_s(self) -> float:
-        """Return how long a target may be silent before another one is tried."""
-        if self.is_repeat_allowed() and self.runs + 1 < self.route.max_targets:
-            silence_s = self.route.objective_s * SILENCE_OBJECTIVES
-            return min(max(0.0, self.remaining_s), max(MIN_SILENCE_S, silence_s))
-        return max(0.0, self.remaining_s)
-
-    def get_gap_s(self) -> float:
-        """Return how long a stream may pause before it goes on elsewhere."""
+    def choose_silence_s(self, silence_s: float) -> float:
+        """Return how long a target may be silent: to the end if there is no other."""
+        remaining_s = max(0.0, self.remaining_s)
         if self.is_repeat_allowed() and self.runs + 1 < self.route.max_targets:
-            gap_s = max(MIN_SILENCE_S, self.route.gap_s * SILENCE_GAPS)
-            return min(max(0.0, self.remaining_s), gap_s)
-        return max(0.0, self.remaining_s)
+            return min(remaining_s, silence_s)
+        return remaining_s
 
     async def request(self, target: TargetRecord) -> HttpAnswer:
         """Write the request and return the answer's beginning.
@@ -201,7 +172,7 @@
             path,
             headers,
             request.body,
-            first_byte_timeout_s=self.get_silence_s(),
+            first_byte_timeout_s=self.choose_silence_s(get_first_silence_s(self.route)),
             max_idle_s=max_idle_s,
             connect_timeout_s=TRIAL_TIMEOUT_S if is_doubtful else CONNECT_TIMEOUT_S,
             host=request.get_header("host"),
@@ -245,7 +216,7 @@
         """
         services = self.services
         facts = services.translator.read_answer(answer.status, answer.headers)
-        answer.gap_timeout_s = self.get_silence_s()
+        answer.gap_timeout_s = self.choose_silence_s(get_first_silence_s(self.route))
         if facts.is_not_run:
             await self.drain(answer)
             self.note_not_run(target, facts)
@@ -334,7 +305,9 @@
                     headers = self.services.make_answer_headers(answer.headers)
                     await self.responder.start(answer.status, headers)
                 await self.responder.write(part)
-            answer.gap_timeout_s = self.get_gap_s()
+            answer.gap_timeout_s = self.choose_silence_s(
+                get_later_silence_s(self.route)
+            )
         if not self.responder.has_started:
             headers = self.services.make_answer_headers(answer.headers)
             await self.responder.start(answer.status, headers)
@@ -394,8 +367,8 @@
         services = self.services
         is_late = self.remaining_s <= 0
         if not is_late or not error.sent:
-            services.board.note_failure(target, is_unreachable(error))
-            if is_unreachable(error):
+            services.board.note_failure(target, error.is_unreachable)
+            if error.is_unreachable:
                 services.note_unreachable(target)
         services.note_outcome("failed", self.admitted, target, error)
         self.excluded.add(target.target_id)
@@ -415,8 +388,3 @@
             return
         if self.kept is None:
             raise error
-
-
-def is_unreachable(error: TargetError) -> bool:
-    """Whether an error says that the target cannot be reached now."""
-    return not error.sent or error.has_died or isinstance(error, TargetTimeoutError)
--- a/src/laburnumpitch/relay/request.py
+++ b/src/laburnumpitch/relay/request.py
@@ -138,6 +138,15 @@
     weight_version: int | None
 
 
+@dataclass(frozen=True)
+class KeptAnswer:
+    """A target's failure, delivered if nothing better comes."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
 class Translator(Protocol):
     """The platform's words for requests and answers."""
 
