--- a/src/laburnumpitch/policy/placement.py
+++ b/src/laburnumpitch/policy/placement.py
@@ -23,16 +23,20 @@
 SUSPECT_COST_S = 5.0
 """Cost of a target that failed right now; taken only if there is no other."""
 
-OUTDATED_COST_S = 0.03
-"""Cost of weights that are older than the named ones: they lose a fifth of an answer's
-worth, while a late answer loses four fifths."""
+OUTDATED_COST_S = 0.5
+"""Cost of weights that are older than the named ones. Their engines are next to load,
+which waits for their last stream, and what is read there is soon read again."""
 
 REPORT_AGE_S = 1.0
 """Age at which half of a report of other nodes' load is believed, for requests that
 last as long; reports are half a second old, and every node acts on the same one."""
 
+MAX_COMPARING_NODES = 16
+"""Nodes up to which each compares all targets: what a node sends itself is then a good
+part of what a target has."""
+
 SAMPLED_TARGETS = 2
-"""Targets that are compared, the home of the context among them."""
+"""Targets that are compared beyond that, the home of the context among them."""
 
 REMOTE_COST_S = 0.001
 """Cost of another data centre: two ways between them."""
@@ -105,6 +109,7 @@
     candidates: Sequence[Candidate],
     affinity_key: str,
     tie_breaks: Sequence[float],
+    node_count: int,
 ) -> Candidate | None:
     """Return the candidate with the least expected time, or None.
 
@@ -112,6 +117,7 @@
         candidates: Targets that may serve the request.
         affinity_key: Name of the context that related requests share.
         tie_breaks: A random number from 0 to 1 for each candidate.
+        node_count: Nodes that send requests.
     """
     if not candidates:
         return None
@@ -128,7 +134,9 @@
         return (cost, tie_break)
 
     pairs = list(zip(candidates, tie_breaks, strict=True))
-    return min(sample(pairs, home), key=get_cost)[0]
+    if node_count > MAX_COMPARING_NODES:
+        pairs = sample(pairs, home)
+    return min(pairs, key=get_cost)[0]
 
 
 def sample(
--- a/src/laburnumpitch/relay/dispatcher.py
+++ b/src/laburnumpitch/relay/dispatcher.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import bisect
-import itertools
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from ..errors import NoTargetError, OverloadedError
 from ..fleet.follower import Follower
@@ -20,12 +18,13 @@
     believe_others,
     choose_target,
 )
+from ..policy.waiting import Place, get_order
 from .board import Seen, TargetBoard
 from .configuration import StoreSize
 from .request import Admitted
 from .store_choice import find_store
 
-MAX_WAIT_OBJECTIVES = 2.0
+MAX_WAIT_OBJECTIVES = 0.6
 """Longest wait for a place, in objectives; a late answer is worth more than none."""
 
 MAX_WAIT_SHARE = 0.5
@@ -36,24 +35,22 @@
 """Requests that the fleet has at a target over its slots; what a node knows of the
 others is late, and a target queues a few."""
 
-TOKEN_SHARE = 1.6
-"""Prompt tokens at an engine over its room; parts that requests share count once
-there, and several times here."""
+TOKEN_SHARE = 1.0
+"""Prompt tokens at an engine over its room. What an engine reads in a usual objective
+is less than that, so more would only wait there, out of this node's order."""
 
 VERSION_SHARE = 0.9
 """Part of the time for older weights that is used; a request takes time to begin."""
 
 
-@dataclass(order=True)
+@dataclass(eq=False)
 class Waiter:
     """A request that waits for a place."""
 
-    rank: int
-    due_s: float
-    number: int
-    admitted: Admitted = field(compare=False)
-    excluded: frozenset[str] = field(compare=False)
-    future: asyncio.Future[TargetRecord] = field(compare=False)
+    place: Place
+    admitted: Admitted
+    excluded: frozenset[str]
+    future: asyncio.Future[TargetRecord]
 
 
 class Dispatcher:
@@ -81,7 +78,6 @@
         self.random = random_source
         self.version_s = version_s
         self.waiters: list[Waiter] = []
-        self.numbers = itertools.count()
         self.by_service: dict[str, list[TargetRecord]] = {}
         follower.on_change.append(self.on_targets)
         follower.on_loads = self.pump
@@ -122,9 +118,12 @@
         return await self.wait(admitted, excluded, deadline_s)
 
     def has_earlier(self, admitted: Admitted) -> bool:
-        """Whether a more urgent request of the service waits."""
+        """Whether a request of the service waits that goes before this one."""
+        now_s = self.get_time_s()
+        own = get_order(make_place(admitted), now_s)
         return any(
-            waiter.admitted.service == admitted.service and waiter.rank <= admitted.rank
+            waiter.admitted.service == admitted.service
+            and get_order(waiter.place, now_s) < own
             for waiter in self.waiters
         )
 
@@ -142,14 +141,12 @@
             (deadline_s - now_s) * MAX_WAIT_SHARE, objective_s * MAX_WAIT_OBJECTIVES
         )
         waiter = Waiter(
-            admitted.rank,
-            admitted.request.read_at_s + objective_s,
-            next(self.numbers),
+            make_place(admitted),
             admitted,
             excluded,
             asyncio.get_running_loop().create_future(),
         )
-        bisect.insort(self.waiters, waiter)
+        self.waiters.append(waiter)
         try:
             return await asyncio.wait_for(waiter.future, max(0.0, wait_s))
         except asyncio.TimeoutError as error:
@@ -163,8 +160,9 @@
                 self.waiters.remove(waiter)
 
     def pump(self) -> None:
-        """Place what waits, most urgent first."""
-        for waiter in list(self.waiters):
+        """Place what waits, in order."""
+        now_s = self.get_time_s()
+        for waiter in sorted(self.waiters, key=lambda w: get_order(w.place, now_s)):
             if waiter.future.done():
                 continue
             target = self.place(waiter.admitted, waiter.excluded)
@@ -196,6 +194,7 @@
             candidates,
             facts.affinity_key if admitted.route.has_context else "",
             [self.random.random() for _ in candidates],
+            self.follower.node_count,
         )
         if chosen is None:
             return None
@@ -292,3 +291,9 @@
         if answered is not None:
             return max(told or 0, answered[0])
         return told
+
+
+def make_place(admitted: Admitted) -> Place:
+    """Return a request's claim to a place."""
+    due_s = admitted.request.read_at_s + admitted.route.objective_s
+    return Place(admitted.rank, due_s)
