Let all nodes follow before a test counts on them

Traced in its log: the leader was elected 0.1 s before, and that node had not made its first call, so nobody waited for it; it gets the newest configuration with its first answer. The test waits until all nodes obey version 5, and then holds every later acknowledgement to the same bound as before.

--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -55,6 +55,8 @@
         async def scenario(fleet: Fleet) -> None:
             await fleet.start()
             await fleet.put_configuration(fleet.hosts[0], make_configuration(5))
+            # A node that has not found the leader yet is waited for by nobody.
+            await wait_until(lambda: fleet.list_versions() == {5})
             other = make_configuration(5, limits={"max_body_bytes": 1})
             for body, status in (
                 (make_configuration(5), 200),
