--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -211,6 +211,7 @@
         async def scenario(fleet: Fleet) -> None:
             await fleet.start()
             await fleet.put_configuration(fleet.hosts[0], make_configuration(5))
+            await wait_until(lambda: fleet.list_versions() == {5})
             await self.announce(fleet, fleet.hosts[0], make_beat(1))
             for body in (
                 b"\xff",
