Count grants that do not come; drop what nothing reads

Found by reading the whole diff: a keeper's missing answer left no trace; a request that was cancelled just as it got a place left its prompt counted as unread there for good, so that its target looked busy; settings and a function that nothing used.

--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -159,7 +159,7 @@
         )
         self.keepers = Keepers(self.follower, self.stores, get_steady_s)
         planner = ContextPlanner(
-            self.follower, self.keepers, self.pool, settings.rpc_port
+            self.follower, self.keepers, self.pool, settings.rpc_port, self.metrics
         )
         self.services = RelayServices(
             self.follower,
--- a/src/laburnumpitch/platform/configuration.py
+++ b/src/laburnumpitch/platform/configuration.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 import msgspec
 
 from ..errors import InvalidConfigurationError
@@ -229,9 +227,3 @@
             wire.managed,
         )
     return Service(wire.name, wire.max_connections, engine, store)
-
-
-def get_summary(body: bytes) -> dict[str, Any]:
-    """Return the few fields of a configuration that logs name."""
-    wire = _decoder.decode(body)
-    return {"version": wire.version, "routes": len(wire.routes)}
--- a/src/laburnumpitch/platform/settings_file.py
+++ b/src/laburnumpitch/platform/settings_file.py
@@ -24,16 +24,12 @@
 class WireBounds(msgspec.Struct):
     """Bounds that the rules name."""
 
-    contact_ms: int = 3000
-    drain_ms: int = 2000
     grace_s: float = 8
-    config_apply_ms: int = 2000
     retry_budget_ratio: float = 0.2
     retry_window_s: float = 10
     retry_slack: float = 50
     lease_ms: int = 3000
     version_ms: int = 12000
-    fail_closed: bool = False
 
 
 class WireSettings(msgspec.Struct):
@@ -72,8 +68,6 @@
     """Empty on a node without a disk."""
     announce_interval_s: float
     """Interval of the targets' announcements."""
-    contact_s: float
-    drain_s: float
     grace_s: float
     """Time between SIGTERM and SIGKILL."""
     retry_ratio: float
@@ -117,8 +111,6 @@
         is_first_start=wire.is_bootstrap,
         data_folder=wire.data_dir,
         announce_interval_s=wire.heartbeat_ms / MS_PER_S,
-        contact_s=bounds.contact_ms / MS_PER_S,
-        drain_s=bounds.drain_ms / MS_PER_S,
         grace_s=float(bounds.grace_s),
         retry_ratio=bounds.retry_budget_ratio,
         retry_window_s=bounds.retry_window_s,
--- a/src/laburnumpitch/relay/context_planner.py
+++ b/src/laburnumpitch/relay/context_planner.py
@@ -6,6 +6,8 @@
 from ..fleet.follower import Follower
 from ..fleet.keepers import Keepers
 from ..fleet.messages import ContextGrant, GrantContext, TargetRecord
+from ..logging import get_logger
+from ..metrics import Metrics
 from ..transport.rpc import RpcPool
 from .request import Admitted, ContextPlan
 from .store_choice import find_store
@@ -22,15 +24,23 @@
         keepers: The keepers of this node.
         pool: Connections to other nodes.
         rpc_port: Port of every node.
+        metrics: Where measurements go.
     """
 
     def __init__(
-        self, follower: Follower, keepers: Keepers, pool: RpcPool, rpc_port: int
+        self,
+        follower: Follower,
+        keepers: Keepers,
+        pool: RpcPool,
+        rpc_port: int,
+        metrics: Metrics,
     ) -> None:
         self.follower = follower
         self.keepers = keepers
         self.pool = pool
         self.rpc_port = rpc_port
+        self.metrics = metrics
+        self.log = get_logger()
 
     async def plan(
         self, admitted: Admitted, target: TargetRecord, version: int | None
@@ -72,7 +82,11 @@
                 return await self.keepers.on_grant(call)
             client = self.pool.get(f"{host}:{self.rpc_port}")
             return await client.call(call, GRANT_TIMEOUT_S)
-        except LaburnumpitchError:
+        except LaburnumpitchError as error:
+            # Counted, and logged where it may be looked for; it is no failure of
+            # the request, which is read as without kept context.
+            self.metrics.count("context.lookup_timeout")
+            self.log.debug("grant_missing", address=call.address, code=error.code)
             return None
 
 
--- a/src/laburnumpitch/relay/dispatcher.py
+++ b/src/laburnumpitch/relay/dispatcher.py
@@ -153,7 +153,9 @@
             raise OverloadedError(f"{admitted.service} is full") from error
         except asyncio.CancelledError:
             if waiter.future.done() and not waiter.future.cancelled():
-                self.release(waiter.future.result(), admitted)
+                target = waiter.future.result()
+                self.board.note_first(target, admitted.facts.prompt_tokens)
+                self.release(target, admitted)
             raise
         finally:
             if waiter in self.waiters:
--- a/tests/fleet/fleet_case.py
+++ b/tests/fleet/fleet_case.py
@@ -75,8 +75,6 @@
             is_first_start=not self.has_begun,
             data_folder=str(self.folder / host) if has_disk else "",
             announce_interval_s=0.4,
-            contact_s=3.0,
-            drain_s=2.0,
             grace_s=3.0,
             retry_ratio=0.2,
             retry_window_s=10.0,
