Keep a cancellation that comes at the same moment as a result

Cause: asyncio.wait_for of Python 3.11 returns the result and drops the cancellation if both are there. A client that left as its request got a place, a connection or a keeper's answer had its request sent to a target all the same. Change: asyncio.wait and asyncio.timeout in the dispatcher, the HTTP client and the RPC client.

--- a/src/laburnumpitch/relay/dispatcher.py
+++ b/src/laburnumpitch/relay/dispatcher.py
@@ -148,11 +148,10 @@
         )
         self.waiters.append(waiter)
         try:
-            return await asyncio.wait_for(waiter.future, max(0.0, wait_s))
-        except asyncio.TimeoutError as error:
-            raise OverloadedError(f"{admitted.service} is full") from error
+            # Not wait_for, which drops a cancellation that comes with the result.
+            await asyncio.wait({waiter.future}, timeout=max(0.0, wait_s))
         except asyncio.CancelledError:
-            if waiter.future.done() and not waiter.future.cancelled():
+            if waiter.future.done():
                 target = waiter.future.result()
                 self.board.note_first(target, admitted.facts.prompt_tokens)
                 self.release(target, admitted)
@@ -160,6 +159,9 @@
         finally:
             if waiter in self.waiters:
                 self.waiters.remove(waiter)
+        if not waiter.future.done():
+            raise OverloadedError(f"{admitted.service} is full")
+        return waiter.future.result()
 
     def pump(self) -> None:
         """Place what waits, in order."""
--- a/src/laburnumpitch/transport/http_client.py
+++ b/src/laburnumpitch/transport/http_client.py
@@ -139,10 +139,11 @@
         """
         try:
             loop = asyncio.get_running_loop()
-            _, connection = await asyncio.wait_for(
-                loop.create_connection(lambda: Connection(loop), self.host, self.port),
-                timeout_s,
-            )
+            # Not wait_for, which drops a cancellation that comes with the result.
+            async with asyncio.timeout(timeout_s):
+                _, connection = await loop.create_connection(
+                    lambda: Connection(loop), self.host, self.port
+                )
         except asyncio.TimeoutError as error:
             raise TargetTimeoutError("no connection in time", sent=False) from error
         except OSError as error:
--- a/src/laburnumpitch/transport/rpc.py
+++ b/src/laburnumpitch/transport/rpc.py
@@ -221,7 +221,9 @@
         self.pending[request_id] = future
         try:
             self.send(request_id, REQUEST, request)
-            answer = await asyncio.wait_for(future, timeout_s)
+            # Not wait_for, which drops a cancellation that comes with the result.
+            async with asyncio.timeout(timeout_s):
+                answer = await future
         except asyncio.TimeoutError as error:
             name = type(request).__name__
             raise RpcTimeoutError(f"{name} to {self.address}") from error
--- a/tests/relay/relay_case.py
+++ b/tests/relay/relay_case.py
@@ -29,11 +29,11 @@
 )
 from laburnumpitch.relay.dispatcher import Dispatcher
 from laburnumpitch.relay.relay_api import RelayApi
-from laburnumpitch.relay.request import ContextPlan
+from laburnumpitch.relay.request import Admitted, ContextPlan, RequestFacts
 from laburnumpitch.relay.retry_share import RetryShare
 from laburnumpitch.relay.services import RelayServices
 from laburnumpitch.transport.http_client import HttpClient
-from laburnumpitch.transport.http_server import HttpServer
+from laburnumpitch.transport.http_server import HttpRequest, HttpServer
 
 SERVICE = "shop"
 KEY = "secret"
@@ -246,6 +246,17 @@
         body = await answer.read()
         return answer.status, dict(answer.headers), body
 
+    def make_admitted(self, route: str, prompt_tokens: int) -> Admitted:
+        """Return a request that the configuration allows."""
+        request = HttpRequest("POST", f"/{route}/", "", [], b"", time.monotonic())
+        facts = RequestFacts(REQUEST_ID, HOST, KEY, None, "", prompt_tokens, 0, (), "")
+        found = next(r for r in CONFIGURATION.routes if r.name == route)
+        return Admitted(request, facts, found, SERVICE, None, 1)
+
+    def get_end_s(self) -> float:
+        """Return a time some seconds from now."""
+        return time.monotonic() + TIMEOUT_S
+
     def count_runs(self) -> list[int]:
         """Return how many requests each target got."""
         return [len(target.requests) for target in self.targets]
