--- a/src/laburnumpitch/relay/dispatcher.py
+++ b/src/laburnumpitch/relay/dispatcher.py
@@ -10,7 +10,7 @@
 from ..errors import NoTargetError, OverloadedError
 from ..fleet.follower import Follower
 from ..fleet.load_totals import NOTHING
-from ..fleet.messages import TargetRecord
+from ..fleet.messages import FleetLoad, TargetRecord
 from ..fleet.store_keeper import REMOTE_COST
 from ..policy.placement import (
     READ_TOKENS_PER_S,
@@ -18,6 +18,7 @@
     believe_others,
     choose_target,
 )
+from ..policy.room import TargetRoom, has_room
 from ..policy.waiting import Place, get_order
 from .board import Seen, TargetBoard
 from .configuration import StoreSize
@@ -31,14 +32,6 @@
 """Part of the time left that is spent waiting, so that the rest serves for an answer
 or a return."""
 
-SLOT_SHARE = 2.0
-"""Requests that the fleet has at a target over its slots; what a node knows of the
-others is late, and a target queues a few."""
-
-TOKEN_SHARE = 1.0
-"""Prompt tokens at an engine over its room. What an engine reads in a usual objective
-is less than that, so more would only wait there, out of this node's order."""
-
 VERSION_SHARE = 0.9
 """Part of the time for older weights that is used; a request takes time to begin."""
 
@@ -214,16 +207,18 @@
             return False
         if self.is_expired(target, seen, admitted.facts.model):
             return False
+        own = FleetLoad(seen.running, seen.running_tokens)
         others = self.follower.other_loads.get(target.target_id, NOTHING)
-        running = others.running + seen.running
-        if running >= target.slots * SLOT_SHARE:
-            return False
         configuration = self.follower.configuration
         service = configuration.services_by_name.get(target.service)
-        if service is None or service.engine is None or not running:
-            return True
-        tokens = others.tokens + seen.running_tokens + admitted.facts.prompt_tokens
-        return tokens <= service.engine.context_tokens * TOKEN_SHARE
+        room = service.engine.context_tokens if service and service.engine else None
+        return has_room(
+            own,
+            others,
+            admitted.facts.prompt_tokens,
+            TargetRoom(target.slots, room),
+            self.follower.node_count,
+        )
 
     def get_transfer_s(
         self, target: TargetRecord, admitted: Admitted, store: StoreSize | None
