--- a/harness/process.py
+++ b/harness/process.py
@@ -65,7 +65,10 @@
         """
         if not self.is_running and not self.is_stopped:
             lines = self.read_output().splitlines()[-LAST_LINES:]
-            raise ProcessEndedError(f"{self.name} has ended:\n" + "\n".join(lines))
+            code = self.running.returncode if self.running else None
+            raise ProcessEndedError(
+                f"{self.name} has ended with {code}:\n" + "\n".join(lines)
+            )
 
     def signal(self, number: int) -> None:
         """Send a signal if the process lives."""
--- /dev/null
+++ b/harness/soak/fleet.py
@@ -0,0 +1,175 @@
+"""The nodes of a soak: real processes, each at a loopback address of its own."""
+
+from __future__ import annotations
+
+import json
+import os
+import shutil
+import time
+from pathlib import Path
+
+from ..ports import return_ports, take_port
+from ..process import ROOT, Process, wait_for
+
+GRACE_S = 8
+HEARTBEAT_MS = 400
+READY_S = 60.0
+"""Longest wait for a fleet's start; far more than a busy machine takes."""
+
+
+def make_hosts(count: int) -> list[str]:
+    """Return loopback addresses, one a node."""
+    return [f"127.0.{4 + n // 250}.{1 + n % 250}" for n in range(count)]
+
+
+class NodeProcess(Process):
+    """A node's process and what happened to it.
+
+    Args:
+        host: The node's address.
+        settings: Path of its settings file.
+        folder: Folder of its output.
+    """
+
+    def __init__(self, host: str, settings: Path, folder: Path) -> None:
+        super().__init__(host, ["-m", "laburnumpitch", "serve"], folder)
+        self.host = host
+        self.settings = settings
+        self.arguments += ["--settings", str(settings)]
+        self.started_s = time.monotonic()
+        self.disturbed_s = float("-inf")
+        """When a fault last struck or ended here."""
+        self.is_frozen = False
+
+    def start(self) -> None:
+        """Start the process."""
+        self.started_s = time.monotonic()
+        super().start()
+
+    def note_disturbed(self) -> None:
+        """Note that a fault strikes or ends."""
+        self.disturbed_s = time.monotonic()
+
+
+class SoakFleet:
+    """Nodes of a fleet, of which the first ones have a disk.
+
+    Args:
+        count: Nodes.
+        disks: Nodes with a disk.
+        folder: Folder of everything that the run writes.
+    """
+
+    def __init__(self, count: int, disks: int, folder: Path) -> None:
+        self.hosts = make_hosts(count)
+        self.disks = disks
+        self.folder = folder
+        self.ports = [take_port() for _ in range(5)]
+        self.client_port, self.ready_port, self.control_port = self.ports[:3]
+        self.rpc_port = self.ports[4]
+        self.seeds = self.hosts[:3]
+        self.nodes: dict[str, NodeProcess] = {}
+        self.core_disturbed_s = time.monotonic()
+        """When a node with a disk was last disturbed."""
+
+    def start(self) -> None:
+        """Start all nodes at once."""
+        for host in self.hosts:
+            path = self.folder / f"{host}.toml"
+            self.nodes[host] = NodeProcess(host, path, self.folder)
+            self.write_settings(host, is_first=True)
+        for node in self.nodes.values():
+            node.start()
+
+    def close(self) -> None:
+        """End all processes and remove what they wrote."""
+        for node in self.nodes.values():
+            node.thaw()
+            node.kill()
+        return_ports(self.ports)
+        shutil.rmtree(self.folder)
+
+    def has_disk(self, host: str) -> bool:
+        """Whether a node votes."""
+        return host in self.hosts[: self.disks]
+
+    def write_settings(self, host: str, is_first: bool = False) -> None:
+        """Write a node's settings file."""
+        lines = [
+            f'node_name = "{host}"',
+            f'ip = "{host}"',
+            'zone = "dc"',
+            f"internal_ports = [{self.rpc_port}, {self.rpc_port + 1}]",
+            f"seeds = {json.dumps([f'{s}:{self.control_port}' for s in self.seeds])}",
+            f"is_bootstrap = {json.dumps(is_first)}",
+            f"heartbeat_ms = {HEARTBEAT_MS}",
+        ]
+        if self.has_disk(host):
+            lines.append(f'data_dir = "{self.folder / f"data-{host}"}"')
+        lines += [
+            "[listen]",
+            f'frontend = "{host}:{self.client_port}"',
+            f'readiness = "{host}:{self.ready_port}"',
+            f'control = "{host}:{self.control_port}"',
+            "[bounds]",
+            f"grace_s = {GRACE_S}",
+            "lease_ms = 3000",
+        ]
+        new = self.folder / f"{host}.new"
+        new.write_text("\n".join(lines) + "\n")
+        os.replace(new, self.folder / f"{host}.toml")
+
+    def disturb(self, host: str) -> None:
+        """Note that a fault strikes or ends at a node."""
+        self.nodes[host].note_disturbed()
+        if self.has_disk(host):
+            self.core_disturbed_s = time.monotonic()
+
+    def kill(self, host: str) -> None:
+        """Kill a node."""
+        self.disturb(host)
+        self.nodes[host].thaw()
+        self.nodes[host].kill()
+
+    def restart(self, host: str) -> None:
+        """Start a node again."""
+        self.disturb(host)
+        self.write_settings(host)
+        self.nodes[host].start()
+
+    def wipe(self, host: str) -> None:
+        """Empty the disk of a node that does not run."""
+        shutil.rmtree(self.folder / f"data-{host}", ignore_errors=True)
+
+    def freeze(self, host: str) -> None:
+        """Stop a node's time."""
+        self.disturb(host)
+        self.nodes[host].is_frozen = True
+        self.nodes[host].freeze()
+
+    def thaw(self, host: str) -> None:
+        """Let a node go on."""
+        self.disturb(host)
+        self.nodes[host].is_frozen = False
+        self.nodes[host].thaw()
+
+    def list_controls(self) -> list[str]:
+        """Return control addresses of nodes, as the platform lists them."""
+        return [f"{host}:{self.control_port}" for host in self.hosts]
+
+    def wait_configured(self) -> None:
+        """Wait until every node has a configuration in force."""
+
+        def is_configured(node: NodeProcess) -> bool:
+            node.check_running()
+            return "event=configuration_in_force" in node.read_output()
+
+        for host, node in self.nodes.items():
+            wait_for(lambda: is_configured(node), READY_S, f"{host} to follow", 0.2)
+
+
+def make_folder() -> Path:
+    """Return a new folder for a run, below the working tree's ignored one."""
+    path = ROOT / "target" / "soak" / f"{os.getpid()}-{time.monotonic_ns()}"
+    path.mkdir(parents=True)
+    return path
--- a/src/laburnumpitch/__main__.py
+++ b/src/laburnumpitch/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
 SERVE = "serve"
@@ -10,6 +11,9 @@
 def main() -> int:
     """Run a command; `serve` loads nothing that a fleet's node does not need."""
     if sys.argv[1:2] == [SERVE]:
+        # A change of the settings before the node can take it must not end it: the
+        # file is read afterwards anyway.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         from .serve_command import run_serve
 
         return run_serve(sys.argv[2:])
--- a/src/laburnumpitch/control/replica.py
+++ b/src/laburnumpitch/control/replica.py
@@ -30,7 +30,6 @@
     SnapshotMeta,
     SnapshotRequest,
 )
-from .state_machine import StateMachine
 
 TICK_S = 0.05
 """Interval at which the core looks at the time."""
@@ -85,9 +84,9 @@
         peers: Connections to the other replicas.
         addresses: Address of a replica by name; goes before the one in the log.
         metrics: Where measurements go.
+        make_machine: Makes the state machine from a snapshot.
         get_time_s: Monotonic time.
         snapshot_entries: Entries after which the log becomes a snapshot.
-        make_machine: Makes the state machine from a snapshot.
         get_address: Returns the address of a replica by name, where names tell;
             a replica that joins knows no members to look it up among.
     """
@@ -98,9 +97,9 @@
         peers: RpcPool,
         addresses: dict[str, str],
         metrics: Metrics,
+        make_machine: Callable[[bytes], Machine],
         get_time_s: Callable[[], float] = time.monotonic,
         snapshot_entries: int = SNAPSHOT_ENTRIES,
-        make_machine: Callable[[bytes], Machine] = StateMachine,
         get_address: Callable[[str], str] | None = None,
     ) -> None:
         self.store = store
--- a/src/laburnumpitch/entry/services.py
+++ b/src/laburnumpitch/entry/services.py
@@ -9,7 +9,7 @@
 from ..context.shards import Shards
 from ..context.stores import StoreRouter
 from ..errors import DrainingError
-from ..membership.control_client import ControlClient
+from ..membership.proposer import Proposer
 from ..membership.session import Session
 from ..metrics import Metrics
 from ..policy.choose import ChoicePolicy
@@ -42,7 +42,7 @@
     def __init__(
         self,
         session: Session,
-        control: ControlClient,
+        control: Proposer,
         http: HttpClientPool,
         shards: Shards,
         tracker: TargetTracker,
--- a/src/laburnumpitch/entry/suspects.py
+++ b/src/laburnumpitch/entry/suspects.py
@@ -10,8 +10,8 @@
 from ..control.state_machine import MAX_DEATHS
 from ..errors import DeadlineExceededError, LaburnumpitchError, QuarantinedError
 from ..logging import get_logger
-from ..membership.control_client import ControlClient
 from ..membership.messages import TargetInfo
+from ..membership.proposer import Proposer
 from ..membership.session import Session
 
 COMMIT_TIMEOUT_S = 10.0
@@ -38,7 +38,7 @@
         control: Client of the control leader.
     """
 
-    def __init__(self, session: Session, control: ControlClient) -> None:
+    def __init__(self, session: Session, control: Proposer) -> None:
         self.session = session
         self.control = control
         self.log = get_logger()
--- a/src/laburnumpitch/fleet/core.py
+++ b/src/laburnumpitch/fleet/core.py
@@ -119,9 +119,9 @@
             self.pool,
             {},
             self.metrics,
+            FleetState,
             self.get_time_s,
             SNAPSHOT_ENTRIES,
-            FleetState,
             self.leader.find_address,
         )
         await replica.start()
--- a/src/laburnumpitch/fleet/hub.py
+++ b/src/laburnumpitch/fleet/hub.py
@@ -99,6 +99,9 @@
         self.get_time_s = get_time_s
         self.log = get_logger()
         self.changed = asyncio.Event()
+        self.heard = asyncio.Event()
+        """Set when a node calls; held calls do not wait for it, or each call would
+        wake all others."""
         self.reset(-1)
 
     def reset(self, term: int) -> None:
@@ -129,6 +132,12 @@
         """Let every held call look again."""
         self.changed.set()
         self.changed = asyncio.Event()
+        self.note_heard()
+
+    def note_heard(self) -> None:
+        """Let whoever waits for nodes look again."""
+        self.heard.set()
+        self.heard = asyncio.Event()
 
     @property
     def sequence(self) -> int:
@@ -166,7 +175,7 @@
             self.log.info("node_follows", host=call.node.host, term=self.term)
         self.followers[call.node.host] = follower
         self.loads.take(call.node.host, call.loads)
-        self.wake()
+        self.note_heard()
         deadline_s = self.get_time_s() + HOLD_S
         while not self.has_news(call):
             remaining_s = deadline_s - self.get_time_s()
@@ -174,7 +183,8 @@
                 break
             changed = self.changed
             try:
-                await asyncio.wait_for(changed.wait(), remaining_s)
+                async with asyncio.timeout(remaining_s):
+                    await changed.wait()
             except asyncio.TimeoutError:
                 break
             self.check_term()
@@ -233,7 +243,8 @@
                 self.log.info("change_unconfirmed", sequence=sequence, late=late[:5])
                 return False
             try:
-                await asyncio.wait_for(self.changed.wait(), remaining_s)
+                async with asyncio.timeout(remaining_s):
+                    await self.heard.wait()
             except asyncio.TimeoutError:
                 continue
         return False
--- a/src/laburnumpitch/fleet/messages.py
+++ b/src/laburnumpitch/fleet/messages.py
@@ -58,6 +58,8 @@
     """Whether announcements have stopped coming."""
     is_loading: bool = False
     """Whether it is changing its weights and takes no new requests."""
+    is_retiring: bool = False
+    """Whether it changes its weights next and takes short requests only."""
     cold_s: float = 0.0
     """How much longer it is slow after its start."""
     versions: dict[str, int] = field(default_factory=dict)
--- a/src/laburnumpitch/fleet/target_table.py
+++ b/src/laburnumpitch/fleet/target_table.py
@@ -168,6 +168,7 @@
         record,
         is_leaving=record.is_leaving or old.is_leaving,
         is_loading=old.is_loading,
+        is_retiring=old.is_retiring,
         versions=versions,
     )
 
--- a/src/laburnumpitch/fleet/weights_commander.py
+++ b/src/laburnumpitch/fleet/weights_commander.py
@@ -9,10 +9,17 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
 from ..errors import LaburnumpitchError, NotLeaderError, TargetError
 from ..logging import get_logger
-from ..policy.rollout import EngineVersion, PoolRollout, choose_loads
+from ..policy.rollout import (
+    EngineVersion,
+    PoolRollout,
+    choose_loads,
+    choose_retiring,
+    get_capacity_floor,
+)
 from .core import Core
 from .hub import Hub
 from .messages import TargetRecord
@@ -34,9 +41,19 @@
 ORDER_PAUSE_S = 0.15
 """Pause before an engine that did not take an order is asked again."""
 
-CAPACITY_FLOOR = 0.6
-"""Share of a service's engines that keep serving; also how many may load at once
-without slowing each other."""
+FIRST_LOAD_S = 2.5
+"""Time that an engine is away for a load before any was seen; a sheet's load and the
+end of short runs."""
+
+LOAD_WEIGHT = 0.2
+"""Weight of the newest load in the usual time of one."""
+
+RETIRE_S = 1.2
+"""Time for which an engine gets short requests only before it is ordered to load;
+most streams that it has end in it."""
+
+MIN_RETIRING_POOL = 3
+"""Engines of a pool from which on some are left for long requests meanwhile."""
 
 
 class WeightsCommander:
@@ -46,6 +63,7 @@
         core: This node's replica.
         engines: Reports of engines and orders to them.
         lease_s: Time that must pass between orders of two holders.
+        version_s: Time in which all engines must have a named version.
         get_time_s: Monotonic time.
     """
 
@@ -54,15 +72,21 @@
         core: Core,
         engines: Engines,
         lease_s: float,
+        version_s: float,
         get_time_s: Callable[[], float],
     ) -> None:
         self.core = core
         self.engines = engines
         self.lease_s = lease_s
+        self.version_s = version_s
         self.get_time_s = get_time_s
         self.term = -1
         self.loads: dict[str, asyncio.Task[None]] = {}
         """Loads ordered in this term, by target."""
+        self.retiring_s: dict[str, float] = {}
+        """Since when engines that come next get short requests only."""
+        self.load_s = FIRST_LOAD_S
+        """Usual time that an engine is away for a load."""
         self.log = get_logger()
 
     async def run(self) -> None:
@@ -81,6 +105,7 @@
         for load in self.loads.values():
             load.cancel()
         self.loads.clear()
+        self.retiring_s.clear()
 
     def may_command(self, hub: Hub) -> bool:
         """Whether no other holder's order can still be on its way."""
@@ -112,6 +137,25 @@
     ) -> None:
         """Start the loads of one model in one service."""
         by_id = {record.target_id: record for record in records}
+        pool = self.make_pool(records, model, version)
+        for target_id in choose_retiring(pool):
+            if target_id not in self.retiring_s:
+                self.retiring_s[target_id] = self.get_time_s()
+                if len(records) >= MIN_RETIRING_POOL:
+                    hub.change_target(target_id, is_retiring=True)
+        engines = tuple(
+            replace(engine, is_backing_off=not self.has_retired(engine.target_id))
+            for engine in pool.engines
+        )
+        for target_id in choose_loads(replace(pool, engines=engines)):
+            del self.retiring_s[target_id]
+            task = asyncio.create_task(self.load(hub, by_id[target_id], model, version))
+            self.loads[target_id] = task
+
+    def make_pool(
+        self, records: list[TargetRecord], model: str, version: int
+    ) -> PoolRollout:
+        """Return a pool as the policy sees it."""
         engines = tuple(
             EngineVersion(
                 record.target_id,
@@ -121,10 +165,13 @@
             )
             for record in records
         )
-        pool = PoolRollout(str(version), engines, CAPACITY_FLOOR, False, len(engines))
-        for target_id in choose_loads(pool):
-            task = asyncio.create_task(self.load(hub, by_id[target_id], model, version))
-            self.loads[target_id] = task
+        floor = get_capacity_floor(len(engines), self.load_s, self.version_s)
+        return PoolRollout(str(version), engines, floor, False, len(engines))
+
+    def has_retired(self, target_id: str) -> bool:
+        """Whether an engine has had time to end its long runs."""
+        since_s = self.retiring_s.get(target_id)
+        return since_s is not None and self.get_time_s() - since_s >= RETIRE_S
 
     async def load(
         self, hub: Hub, record: TargetRecord, model: str, version: int
@@ -132,11 +179,13 @@
         """Order one load and follow it to its end."""
         target_id = record.target_id
         started_s = self.get_time_s()
-        hub.change_target(target_id, is_loading=True)
+        hub.change_target(target_id, is_loading=True, is_retiring=False)
         try:
             while self.get_time_s() - started_s < LOAD_TIMEOUT_S:
                 try:
                     if await self.step(hub, record, model, version):
+                        duration_s = self.get_time_s() - started_s
+                        self.load_s += (duration_s - self.load_s) * LOAD_WEIGHT
                         break
                     await asyncio.sleep(REPORT_INTERVAL_S)
                 except TargetError as error:
--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -220,7 +220,11 @@
             await self.core.start()
             self.writing = asyncio.create_task(self.snapshot_file.run())
             self.commander = WeightsCommander(
-                self.core, self.engines, settings.order_lease_s, get_steady_s
+                self.core,
+                self.engines,
+                settings.order_lease_s,
+                settings.version_s,
+                get_steady_s,
             )
             self.commanding = asyncio.create_task(self.commander.run())
             self.follower.on_change.append(self.check_members)
--- a/src/laburnumpitch/membership/control_client.py
+++ b/src/laburnumpitch/membership/control_client.py
@@ -7,9 +7,7 @@
 from typing import Any
 
 from ..errors import ControlUnavailableError, NotLeaderError, RpcTimeoutError
-from ..transport.codec import encode
 from ..transport.rpc import RpcPool
-from .messages import ProposeCall
 
 ATTEMPT_TIMEOUT_S = 0.8
 """Time for one replica to answer before another one is asked."""
@@ -94,11 +92,3 @@
         else:
             position = self.names.index(asked)
             self.leader = self.names[(position + 1) % len(self.names)]
-
-    async def propose(self, command: Any, timeout_s: float) -> Any:
-        """Commit a command and return its result.
-
-        Raises:
-            ControlUnavailableError: If the outcome is unknown.
-        """
-        return await self.call(ProposeCall(encode(command)), timeout_s)
--- a/src/laburnumpitch/node.py
+++ b/src/laburnumpitch/node.py
@@ -33,6 +33,7 @@
 from .control.operator_service import OperatorService
 from .control.raft_messages import Member
 from .control.replica import Replica
+from .control.state_machine import StateMachine
 from .entry.flight_guard import (
     EnterFlight,
     FlightGuard,
@@ -53,6 +54,7 @@
     ReportTraffic,
     TrafficReport,
 )
+from .membership.proposer import Proposer
 from .membership.session import Session
 from .metrics import Metrics
 from .metrics_server import make_metrics_server
@@ -187,6 +189,7 @@
             self.node.pool,
             others,
             self.node.metrics,
+            StateMachine,
             snapshot_entries=settings.snapshot_entries,
         )
         self.leader = LeaderService(self.replica, settings.cluster_id)
@@ -287,7 +290,7 @@
             raise SettingsError(
                 f"--http-port: {settings.host}:{settings.http_port}: {error.strerror}"
             ) from error
-        self.control = ControlClient(node.pool, node.peers)
+        self.control = Proposer(node.pool, node.peers)
         self.session = Session(self.control, self.describe(), node.metrics)
         self.http = HttpClientPool()
         view = self.session.view
--- a/src/laburnumpitch/relay/board.py
+++ b/src/laburnumpitch/relay/board.py
@@ -18,6 +18,9 @@
 FIRST_SERVICE_S = 0.1
 """Usual time of a request before any was seen."""
 
+FIRST_TOKEN_S = 0.005
+"""Time for a token that a request may generate, before any was seen."""
+
 SUSPECT_S = 0.4
 """First time for which a target that cannot be reached is avoided."""
 
@@ -40,6 +43,8 @@
     unread_tokens: int = 0
     failure_rate: float = 0.0
     service_s: float = FIRST_SERVICE_S
+    token_s: float = FIRST_TOKEN_S
+    """Usual time for each token that a request may generate."""
     suspect_until_s: float = 0.0
     suspect_s: float = SUSPECT_S
     served_s: float = float("-inf")
@@ -125,6 +130,14 @@
         seen.suspect_until_s = 0.0
         seen.served_s = self.get_time_s()
 
+    def note_generated(
+        self, target: TargetRecord, tokens: int, duration_s: float
+    ) -> None:
+        """Note how long a whole stream took from its first event on."""
+        if tokens > 0:
+            seen = self.get(target.target_id)
+            seen.token_s += (duration_s / tokens - seen.token_s) * TIME_WEIGHT
+
     def note_failure(self, target: TargetRecord, is_unreachable: bool) -> None:
         """Note a failed request.
 
--- a/src/laburnumpitch/relay/dispatcher.py
+++ b/src/laburnumpitch/relay/dispatcher.py
@@ -19,6 +19,7 @@
     choose_target,
 )
 from ..policy.room import TargetRoom, has_room
+from ..policy.send_window import SendWindow
 from ..policy.waiting import Place, get_order
 from .board import Seen, TargetBoard
 from .configuration import StoreSize
@@ -32,6 +33,10 @@
 """Part of the time left that is spent waiting, so that the rest serves for an answer
 or a return."""
 
+SHORT_S = 0.5
+"""Expected time of generation up to which a request is short; an engine gets short
+requests only for twice this time before its weights change."""
+
 VERSION_SHARE = 0.9
 """Part of the time for older weights that is used; a request takes time to begin."""
 
@@ -72,6 +77,8 @@
         self.version_s = version_s
         self.waiters: list[Waiter] = []
         self.by_service: dict[str, list[TargetRecord]] = {}
+        self.windows: dict[str, SendWindow] = {}
+        """What this node may have unread, by service."""
         follower.on_change.append(self.on_targets)
         follower.on_loads = self.pump
 
@@ -146,7 +153,7 @@
         except asyncio.CancelledError:
             if waiter.future.done():
                 target = waiter.future.result()
-                self.board.note_first(target, admitted.facts.prompt_tokens)
+                self.note_read(target, admitted, None)
                 self.release(target, admitted)
             raise
         finally:
@@ -159,14 +166,52 @@
     def pump(self) -> None:
         """Place what waits, in order."""
         now_s = self.get_time_s()
+        blocked: set[str] = set()
         for waiter in sorted(self.waiters, key=lambda w: get_order(w.place, now_s)):
-            if waiter.future.done():
+            service = waiter.admitted.service
+            if waiter.future.done() or service in blocked:
+                continue
+            if not self.fits_window(waiter.admitted):
+                # Smaller prompts do not overtake, or large ones would never go.
+                blocked.add(service)
                 continue
             target = self.place(waiter.admitted, waiter.excluded)
             if target is not None:
                 self.waiters.remove(waiter)
                 waiter.future.set_result(target)
 
+    def get_window(self, service: str) -> SendWindow:
+        """Return what this node may have unread at a service."""
+        window = self.windows.get(service)
+        if window is None:
+            window = self.windows[service] = SendWindow()
+        return window
+
+    def fits_window(self, admitted: Admitted) -> bool:
+        """Whether this node may have one more prompt of this size unread."""
+        if not admitted.route.has_context:
+            return True
+        window = self.get_window(admitted.service)
+        return window.may_send(admitted.facts.prompt_tokens, self.get_time_s())
+
+    def note_read(
+        self, target: TargetRecord, admitted: Admitted, duration_s: float | None
+    ) -> None:
+        """Count a prompt out of the unread ones.
+
+        Args:
+            target: Where it was sent.
+            admitted: The request.
+            duration_s: Time to its first event; None if none came.
+        """
+        tokens = admitted.facts.prompt_tokens
+        self.board.note_first(target, tokens)
+        window = self.get_window(target.service)
+        window.end(id(admitted))
+        if duration_s is not None and admitted.route.has_context:
+            objective_s = admitted.route.objective_s
+            window.note_read(tokens, duration_s, objective_s, self.get_time_s())
+
     def release(self, target: TargetRecord, admitted: Admitted) -> None:
         """Count a request out of a target."""
         self.board.end(target, admitted.facts.prompt_tokens)
@@ -176,12 +221,14 @@
         self, admitted: Admitted, excluded: frozenset[str]
     ) -> TargetRecord | None:
         """Choose a target that has a place and count the request there."""
+        facts = admitted.facts
+        if not self.fits_window(admitted):
+            return None
         targets = [
             target
             for target in self.by_service.get(admitted.service, ())
             if target.target_id not in excluded and self.has_place(target, admitted)
         ]
-        facts = admitted.facts
         store = None
         if admitted.route.has_context:
             store = find_store(self.follower.configuration, facts.affinity_key)
@@ -197,6 +244,12 @@
             return None
         target = next(t for t in targets if t.target_id == chosen.target_id)
         self.board.begin(target, facts.prompt_tokens)
+        self.get_window(admitted.service).begin(
+            id(admitted),
+            facts.prompt_tokens,
+            admitted.route.objective_s,
+            self.get_time_s(),
+        )
         return target
 
     def has_place(self, target: TargetRecord, admitted: Admitted) -> bool:
@@ -207,6 +260,10 @@
             return False
         if self.is_expired(target, seen, admitted.facts.model):
             return False
+        if target.is_retiring and (
+            admitted.facts.output_tokens * seen.token_s > SHORT_S
+        ):
+            return False
         own = FleetLoad(seen.running, seen.running_tokens)
         others = self.follower.other_loads.get(target.target_id, NOTHING)
         configuration = self.follower.configuration
--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -127,19 +127,23 @@
             TargetError: If it failed there.
         """
         services = self.services
-        tokens = self.admitted.facts.prompt_tokens
-        sent_s = services.get_time_s()
+        self.sent_s = sent_s = services.get_time_s()
         self.is_unread = True
         answer = None
         try:
             answer = await self.request(target)
             await self.take_answer(target, answer)
-            services.board.note_success(target, services.get_time_s() - sent_s)
+            ended_s = services.get_time_s()
+            services.board.note_success(target, ended_s - sent_s)
+            if self.first_event_s is not None:
+                tokens = self.admitted.facts.output_tokens
+                duration_s = ended_s - max(sent_s, self.first_event_s)
+                services.board.note_generated(target, tokens, duration_s)
         finally:
             if answer is not None:
                 answer.close()
             if self.is_unread:
-                services.board.note_first(target, tokens)
+                services.dispatcher.note_read(target, self.admitted, None)
             services.dispatcher.release(target, self.admitted)
 
     def choose_silence_s(self, silence_s: float) -> float:
@@ -320,7 +324,9 @@
         services = self.services
         if self.is_unread:
             self.is_unread = False
-            services.board.note_first(target, self.admitted.facts.prompt_tokens)
+            duration_s = services.get_time_s() - self.sent_s
+            services.dispatcher.note_read(target, self.admitted, duration_s)
+            services.dispatcher.pump()
         if self.first_event_s is None:
             self.first_event_s = services.get_time_s()
             services.note_first_event(self.first_event_s - self.started_s)
--- a/src/laburnumpitch/transport/http_server.py
+++ b/src/laburnumpitch/transport/http_server.py
@@ -124,9 +124,17 @@
             self.writer.write(data)
 
     async def drain(self) -> None:
-        """Wait until the caller has taken enough."""
+        """Wait until the caller has taken enough.
+
+        Raises:
+            ConnectionError: If the caller has gone or takes nothing.
+        """
+        transport = self.writer.transport
+        if not transport.is_closing() and not transport.get_write_buffer_size():
+            return
         try:
-            await asyncio.wait_for(self.writer.drain(), WRITE_TIMEOUT_S)
+            async with asyncio.timeout(WRITE_TIMEOUT_S):
+                await self.writer.drain()
         except asyncio.TimeoutError as error:
             raise ConnectionError("the caller takes no data") from error
 
@@ -275,9 +283,8 @@
         names = {name for name, _ in head.headers}
         if b"content-length" in names and b"transfer-encoding" in names:
             raise h11.RemoteProtocolError("two lengths", error_status_hint=400)
-        body = await asyncio.wait_for(
-            self.read_body(connection, reader, writer), BODY_TIMEOUT_S
-        )
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            body = await self.read_body(connection, reader, writer)
         path, _, query = head.target.decode("latin-1").partition("?")
         headers = [
             (name.decode("latin-1"), value.decode("latin-1"))
@@ -309,9 +316,8 @@
             else:
                 now_s = time.monotonic()
                 deadline_s = deadline_s or now_s + self.limits.header_timeout_s
-                data = await asyncio.wait_for(
-                    reader.read(READ_BYTES), deadline_s - now_s
-                )
+                async with asyncio.timeout(deadline_s - now_s):
+                    data = await reader.read(READ_BYTES)
             deadline_s = deadline_s or (time.monotonic() + self.limits.header_timeout_s)
             connection.receive_data(data)
 
@@ -325,9 +331,8 @@
         """
         self.idle.add(writer)
         try:
-            return await asyncio.wait_for(
-                reader.read(READ_BYTES), self.limits.idle_timeout_s
-            )
+            async with asyncio.timeout(self.limits.idle_timeout_s):
+                return await reader.read(READ_BYTES)
         finally:
             self.idle.discard(writer)
 
--- a/tests/fleet/test_weights_commander.py
+++ b/tests/fleet/test_weights_commander.py
@@ -18,6 +18,9 @@
 MODEL = "m"
 WAIT_S = 15.0
 
+VERSION_S = 12.0
+"""Time for a version, of the smallest deployment."""
+
 
 @dataclass
 class StandInEngine:
@@ -121,7 +124,7 @@
 
         async def run() -> None:
             core = SimpleNamespace(hub=hub, node=SimpleNamespace(host="n1"))
-            commander = WeightsCommander(core, engines, 0.0, time.monotonic)
+            commander = WeightsCommander(core, engines, 0.0, VERSION_S, time.monotonic)
             task = asyncio.create_task(commander.run())
             async with asyncio.timeout(WAIT_S):
                 while not until():
