Hand out the places of a service by one coordinator for the whole fleet

Cause: with 66 nodes before 45 engines, each node sees six prompts a second, and what it knows of the others is older than most requests are long. Change: the leader names a coordinator for each service (as keepers of stores); it knows exactly what the fleet has at each target, learns how fast engines read, tells when to ask again, and shares suspicions. A node that gets no answer in 30 ms places by what it knows itself.

--- a/src/laburnumpitch/errors.py
+++ b/src/laburnumpitch/errors.py
@@ -290,6 +290,13 @@
     status = 503
 
 
+class NotCoordinatorError(LaburnumpitchError):
+    """The node asked does not hand out the places of this service."""
+
+    code = "not_coordinator"
+    status = 503
+
+
 class InvalidConfigurationError(LaburnumpitchError):
     """A configuration cannot be read in full, or breaks a rule."""
 
--- a/src/laburnumpitch/fleet/core.py
+++ b/src/laburnumpitch/fleet/core.py
@@ -43,7 +43,8 @@
         leader: Finds the leader.
         metrics: Where measurements go.
         interval_s: Interval of the targets' announcements.
-        list_stores: Returns the addresses of the stores that need a keeper.
+        list_duties: Returns names of what needs one node each: stores by their
+            addresses, and services whose places are handed out.
         get_keepers: Returns the store keepers that this node knows.
         get_time_s: Monotonic time.
     """
@@ -57,7 +58,7 @@
         leader: LeaderClient,
         metrics: Metrics,
         interval_s: float,
-        list_stores: Callable[[], list[str]],
+        list_duties: Callable[[], list[str]],
         get_keepers: Callable[[], dict[str, str]],
         get_time_s: Callable[[], float],
     ) -> None:
@@ -68,7 +69,7 @@
         self.leader = leader
         self.metrics = metrics
         self.interval_s = interval_s
-        self.list_stores = list_stores
+        self.list_duties = list_duties
         self.get_keepers = get_keepers
         self.get_time_s = get_time_s
         self.replica: Replica | None = None
@@ -132,7 +133,7 @@
         self.hub = Hub(
             replica,
             self.interval_s,
-            self.list_stores,
+            self.list_duties,
             self.get_keepers,
             self.get_time_s,
         )
--- a/src/laburnumpitch/fleet/hub.py
+++ b/src/laburnumpitch/fleet/hub.py
@@ -78,7 +78,8 @@
     Args:
         replica: This node's replica.
         interval_s: Interval of the targets' announcements.
-        list_stores: Returns the addresses of the stores that need a keeper.
+        list_duties: Returns names of what needs one node each: stores by their
+            addresses, and services whose places are handed out.
         get_keepers: Returns the keepers that this node knows; a new term keeps
             those that live.
         get_time_s: Steady time.
@@ -88,13 +89,13 @@
         self,
         replica: Replica,
         interval_s: float,
-        list_stores: Callable[[], list[str]],
+        list_duties: Callable[[], list[str]],
         get_keepers: Callable[[], dict[str, str]],
         get_time_s: Callable[[], float],
     ) -> None:
         self.replica = replica
         self.interval_s = interval_s
-        self.list_stores = list_stores
+        self.list_duties = list_duties
         self.get_keepers = get_keepers
         self.get_time_s = get_time_s
         self.log = get_logger()
@@ -297,7 +298,7 @@
             for host, follower in sorted(self.followers.items())
             if now_s - follower.heard_s < KEEPER_LOST_S and follower.node.has_disk
         ]
-        keepers = assign_keepers(self.list_stores(), live, self.keepers)
+        keepers = assign_keepers(self.list_duties(), live, self.keepers)
         if keepers != self.keepers:
             self.keepers = keepers
             self.log.info("keepers_named", keepers=keepers)
--- a/src/laburnumpitch/fleet/messages.py
+++ b/src/laburnumpitch/fleet/messages.py
@@ -242,6 +242,52 @@
     """The targets' clock after which reads are thrown away."""
 
 
+@message
+class PlaceCall:
+    """Asks a service's coordinator for a place."""
+
+    service: str
+    key: str
+    """Name of the context that related requests share; empty without one."""
+    model: str
+    prompt_tokens: int
+    shared_tokens: int
+    output_tokens: int
+    """Most tokens that are generated."""
+    objective_s: float
+    is_late: bool
+    """Whether the objective cannot be met any more."""
+    data_centre: str
+    """Data centre of the node that asks."""
+    excluded: list[str]
+    """Targets that must not be chosen."""
+    suspects: list[str]
+    """Targets that failed the asking node a moment ago."""
+
+
+@message
+class PlaceAnswer:
+    """A place, or none yet."""
+
+    target_id: str
+    """Empty if every target has enough."""
+    number: int
+    """Names the place when it is given back."""
+    wait_s: float
+    """Time after which to ask again if there was none."""
+
+
+@message
+class PlaceProgress:
+    """What became of places; a notice that may be lost."""
+
+    service: str
+    read: list[int]
+    """Places whose prompts have been read."""
+    ended: list[int]
+    """Places that are given back."""
+
+
 # Commands of the replicated log.
 
 
--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -19,7 +19,13 @@
 from .fleet.keepers import Keepers, list_managed
 from .fleet.leader_client import LeaderClient
 from .fleet.leader_service import LeaderService
-from .fleet.messages import GrantContext, Hello, NodeRecord
+from .fleet.messages import (
+    GrantContext,
+    Hello,
+    NodeRecord,
+    PlaceCall,
+    PlaceProgress,
+)
 from .fleet.snapshot_file import SnapshotFile
 from .fleet.weights_commander import WeightsCommander
 from .logging import get_logger
@@ -32,10 +38,13 @@
 from .platform.target_client import PlatformEngines, PlatformStores
 from .relay.board import TargetBoard
 from .relay.context_planner import ContextPlanner
+from .relay.coordinator import Coordinator, make_duty
 from .relay.dispatcher import Dispatcher
+from .relay.place_client import PlaceClient
 from .relay.relay_api import RelayApi
 from .relay.retry_share import RetryShare
 from .relay.services import RelayServices
+from .relay.target_view import TargetView
 from .transport.http_server import HttpServer, ServerLimits
 from .transport.rpc import RpcPool, RpcServer
 
@@ -131,15 +140,19 @@
             self.leader,
             self.metrics,
             self.settings.announce_interval_s,
-            self.list_stores,
+            self.list_duties,
             lambda: self.follower.keepers,
             get_steady_s,
         )
 
-    def list_stores(self) -> list[str]:
-        """Return the addresses of the stores that need a keeper."""
+    def list_duties(self) -> list[str]:
+        """Return the stores that need a keeper and the services with places."""
         configuration = self.follower.configuration
-        return [size.address for size in list_managed(configuration)]
+        if configuration is None:
+            return []
+        stores = [size.address for size in list_managed(configuration)]
+        services = [s.name for s in configuration.services if s.store is None]
+        return stores + [make_duty(service) for service in services]
 
     def make_relay(self) -> None:
         """Make the parts that serve clients."""
@@ -147,9 +160,17 @@
         source = random.Random()
         board = TargetBoard(time.monotonic)
         self.follower.get_loads = board.get_loads
-        dispatcher = Dispatcher(
-            self.follower, board, time.monotonic, source, settings.version_s
+        view = TargetView(self.follower, board, time.monotonic, settings.version_s)
+        self.coordinator = Coordinator(view, time.monotonic, source)
+        self.places = PlaceClient(
+            self.follower,
+            self.coordinator,
+            self.pool,
+            settings.rpc_port,
+            self.metrics,
+            time.monotonic,
         )
+        self.dispatcher = Dispatcher(view, self.places, time.monotonic, source)
         retry_share = RetryShare(
             settings.retry_ratio,
             settings.retry_slack,
@@ -163,7 +184,7 @@
         )
         self.services = RelayServices(
             self.follower,
-            dispatcher,
+            self.dispatcher,
             planner,
             board,
             HeaderTranslator(),
@@ -212,6 +233,8 @@
         self.follower.on_change.append(self.set_limits)
         self.rpc.on(Hello, self.founding.on_hello)
         self.rpc.on(GrantContext, self.keepers.on_grant)
+        self.rpc.on(PlaceCall, self.coordinator.on_place)
+        self.rpc.on(PlaceProgress, self.coordinator.on_progress)
         self.leader_service.register(self.rpc)
         await self.rpc.start()
         if self.core is not None:
@@ -323,6 +346,8 @@
         self.engines.close()
         await self.keepers.close()
         self.stores.close()
+        self.dispatcher.close()
+        self.places.close()
         self.services.close()
         await self.rpc.close()
         self.pool.close()
--- a/src/laburnumpitch/policy/placement.py
+++ b/src/laburnumpitch/policy/placement.py
@@ -83,17 +83,23 @@
 
 def rank_by_hash(key: str, target_ids: Sequence[str]) -> list[str]:
     """Return targets in the key's own order, the same on every node."""
+    return sorted(target_ids, key=lambda name: weigh_hash(key, name))
 
-    def weigh(target_id: str) -> bytes:
-        text = f"{key}\x00{target_id}".encode()
-        return hashlib.blake2b(text, digest_size=8).digest()
 
-    return sorted(target_ids, key=weigh)
+def find_home(key: str, target_ids: Sequence[str]) -> str:
+    """Return the first target in the key's own order; empty without any."""
+    return min(target_ids, key=lambda name: weigh_hash(key, name), default="")
 
 
-def estimate_s(candidate: Candidate) -> float:
+def weigh_hash(key: str, target_id: str) -> bytes:
+    """Return a target's weight for a key, the same on every node."""
+    text = f"{key}\x00{target_id}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
+
+
+def estimate_s(candidate: Candidate, read_rate: float = READ_TOKENS_PER_S) -> float:
     """Return the expected wait at a target, without reading the prompt."""
-    wait_s = candidate.unread_tokens / READ_TOKENS_PER_S
+    wait_s = candidate.unread_tokens / read_rate
     excess = max(0.0, candidate.running + 1 - candidate.slots)
     wait_s += excess * candidate.service_s / candidate.slots
     wait_s += candidate.running / candidate.slots * candidate.service_s
@@ -110,6 +116,7 @@
     affinity_key: str,
     tie_breaks: Sequence[float],
     node_count: int,
+    read_rate: float = READ_TOKENS_PER_S,
 ) -> Candidate | None:
     """Return the candidate with the least expected time, or None.
 
@@ -117,18 +124,19 @@
         candidates: Targets that may serve the request.
         affinity_key: Name of the context that related requests share.
         tie_breaks: A random number from 0 to 1 for each candidate.
-        node_count: Nodes that send requests.
+        node_count: Nodes that send requests by what they know themselves.
+        read_rate: Prompt tokens that a target reads in a second.
     """
     if not candidates:
         return None
     home = ""
     if affinity_key:
         ids = [c.target_id for c in candidates if not c.is_suspect]
-        home = rank_by_hash(affinity_key, ids)[0] if ids else ""
+        home = find_home(affinity_key, ids)
 
     def get_cost(pair: tuple[Candidate, float]) -> tuple[float, float]:
         candidate, tie_break = pair
-        cost = estimate_s(candidate)
+        cost = estimate_s(candidate, read_rate)
         if candidate.target_id != home:
             cost += candidate.transfer_s
         return (cost, tie_break)
--- a/src/laburnumpitch/policy/waiting.py
+++ b/src/laburnumpitch/policy/waiting.py
@@ -14,7 +14,7 @@
 
 
 @dataclass(frozen=True)
-class Place:
+class Claim:
     """A request's claim to the next place."""
 
     rank: int
@@ -23,11 +23,11 @@
     """Time at which its objective passes."""
 
 
-def can_be_on_time(place: Place, now_s: float) -> bool:
+def can_be_on_time(claim: Claim, now_s: float) -> bool:
     """Whether a request that got a place now would meet its objective."""
-    return now_s + ANSWER_S <= place.due_s
+    return now_s + ANSWER_S <= claim.due_s
 
 
-def get_order(place: Place, now_s: float) -> tuple[bool, int, float]:
+def get_order(claim: Claim, now_s: float) -> tuple[bool, int, float]:
     """Return a sorting key: in time before late, then by rank, then by age."""
-    return (not can_be_on_time(place, now_s), place.rank, place.due_s)
+    return (not can_be_on_time(claim, now_s), claim.rank, claim.due_s)
--- a/src/laburnumpitch/relay/board.py
+++ b/src/laburnumpitch/relay/board.py
@@ -113,6 +113,10 @@
         seen.running_tokens -= tokens
         self.wake()
 
+    def is_suspect(self, target: TargetRecord) -> bool:
+        """Whether a target failed this node a moment ago."""
+        return self.get(target.target_id).suspect_until_s > self.get_time_s()
+
     def is_doubtful(self, target: TargetRecord) -> bool:
         """Whether a target may be dark: nobody hears it, and it serves nobody here."""
         seen = self.get(target.target_id)
--- a/src/laburnumpitch/relay/dispatcher.py
+++ b/src/laburnumpitch/relay/dispatcher.py
@@ -6,46 +6,48 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Protocol
 
 from ..errors import NoTargetError, OverloadedError
-from ..fleet.follower import Follower
 from ..fleet.load_totals import NOTHING
-from ..fleet.messages import FleetLoad, TargetRecord
-from ..fleet.store_keeper import REMOTE_COST
-from ..policy.placement import (
-    READ_TOKENS_PER_S,
-    Candidate,
-    believe_others,
-    choose_target,
-)
+from ..fleet.messages import FleetLoad, PlaceAnswer, PlaceCall, TargetRecord
+from ..policy.placement import believe_others, choose_target
 from ..policy.room import TargetRoom, has_room
 from ..policy.send_window import SendWindow
-from ..policy.waiting import Place, get_order
-from .board import Seen, TargetBoard
-from .configuration import StoreSize
+from ..policy.waiting import Claim, can_be_on_time, get_order
+from .place_client import Place
 from .request import Admitted
-from .store_choice import find_store
+from .target_view import TargetView
 
-MAX_WAIT_OBJECTIVES = 0.6
-"""Longest wait for a place, in objectives; a late answer is worth more than none."""
+MAX_WAIT_OBJECTIVES = 1.0
+"""Longest wait for a place, in objectives; later an answer is late whatever comes."""
 
 MAX_WAIT_SHARE = 0.5
 """Part of the time left that is spent waiting, so that the rest serves for an answer
 or a return."""
 
-SHORT_S = 0.5
-"""Expected time of generation up to which a request is short; an engine gets short
-requests only for twice this time before its weights change."""
+LOOK_S = 0.05
+"""Time after which a queue is looked at again if nothing else does it."""
 
-VERSION_SHARE = 0.9
-"""Part of the time for older weights that is used; a request takes time to begin."""
+
+class Places(Protocol):
+    """Places that a coordinator gives."""
+
+    async def ask(self, call: PlaceCall) -> tuple[PlaceAnswer, Place | None] | None:
+        """Return a coordinator's answer and the place, or None without an answer."""
+
+    def note_read(self, place: Place) -> None:
+        """Tell that a place's prompt has been read."""
+
+    def give_back(self, place: Place) -> None:
+        """Tell that a place is free."""
 
 
 @dataclass(eq=False)
 class Waiter:
     """A request that waits for a place."""
 
-    place: Place
+    claim: Claim
     admitted: Admitted
     excluded: frozenset[str]
     future: asyncio.Future[TargetRecord]
@@ -55,41 +57,46 @@
     """Places requests on targets.
 
     Args:
-        follower: This node's view of the fleet.
-        board: What this node has seen of each target.
+        view: What this node believes of targets.
+        places: Places that coordinators give.
         get_time_s: Monotonic time.
         random_source: Breaks ties.
-        version_s: Time after which no request begins on older weights.
     """
 
     def __init__(
         self,
-        follower: Follower,
-        board: TargetBoard,
+        view: TargetView,
+        places: Places,
         get_time_s: Callable[[], float],
         random_source: random.Random,
-        version_s: float,
     ) -> None:
-        self.follower = follower
-        self.board = board
+        self.view = view
+        self.follower = view.follower
+        self.board = view.board
+        self.places = places
         self.get_time_s = get_time_s
         self.random = random_source
-        self.version_s = version_s
         self.waiters: list[Waiter] = []
-        self.by_service: dict[str, list[TargetRecord]] = {}
+        self.given: dict[int, Place] = {}
+        """Places by the request that has them."""
         self.windows: dict[str, SendWindow] = {}
-        """What this node may have unread, by service."""
-        follower.on_change.append(self.on_targets)
-        follower.on_loads = self.pump
+        """What this node may have unread by its own knowledge, by service."""
+        self.pumps: dict[str, asyncio.Task[None]] = {}
+        """Tasks that place what waits, by service."""
+        self.changed = asyncio.Event()
+        self.look_s: dict[str, float] = {}
+        """Time after which a coordinator wants to be asked again, by service."""
+        self.follower.on_change.append(self.on_targets)
+        self.follower.on_loads = self.pump
+
+    def close(self) -> None:
+        """Place nothing more."""
+        for task in list(self.pumps.values()):
+            task.cancel()
 
     def on_targets(self) -> None:
         """Take changed targets."""
-        self.by_service = {}
-        records = self.follower.targets.get_records()
-        for record in records:
-            if not record.is_leaving:
-                self.by_service.setdefault(record.service, []).append(record)
-        self.board.retain({record.target_id for record in records})
+        self.view.update()
         self.pump()
 
     def count_waiting(self) -> int:
@@ -105,28 +112,27 @@
             NoTargetError: If the service has no target.
             OverloadedError: If no place came free in time.
         """
-        usable = [
-            target
-            for target in self.by_service.get(admitted.service, ())
-            if target.target_id not in excluded
-        ]
-        if not usable:
+        targets = self.view.get_targets(admitted.service)
+        if all(target.target_id in excluded for target in targets):
             raise NoTargetError(f"{admitted.service} has no target")
-        target = None if self.has_earlier(admitted) else self.place(admitted, excluded)
-        if target is not None:
-            return target
+        if not self.has_earlier(admitted):
+            target = await self.try_place(admitted, excluded)
+            if target is not None:
+                return target
         return await self.wait(admitted, excluded, deadline_s)
 
     def has_earlier(self, admitted: Admitted) -> bool:
         """Whether a request of the service waits that goes before this one."""
         now_s = self.get_time_s()
-        own = get_order(make_place(admitted), now_s)
+        own = get_order(make_claim(admitted), now_s)
         return any(
             waiter.admitted.service == admitted.service
-            and get_order(waiter.place, now_s) < own
+            and get_order(waiter.claim, now_s) < own
             for waiter in self.waiters
         )
 
+    # The queue.
+
     async def wait(
         self, admitted: Admitted, excluded: frozenset[str], deadline_s: float
     ) -> TargetRecord:
@@ -140,45 +146,174 @@
         wait_s = min(
             (deadline_s - now_s) * MAX_WAIT_SHARE, objective_s * MAX_WAIT_OBJECTIVES
         )
-        waiter = Waiter(
-            make_place(admitted),
-            admitted,
-            excluded,
-            asyncio.get_running_loop().create_future(),
-        )
+        future = asyncio.get_running_loop().create_future()
+        waiter = Waiter(make_claim(admitted), admitted, excluded, future)
         self.waiters.append(waiter)
+        self.start_pump(admitted.service)
         try:
             # Not wait_for, which drops a cancellation that comes with the result.
-            await asyncio.wait({waiter.future}, timeout=max(0.0, wait_s))
+            await asyncio.wait({future}, timeout=max(0.0, wait_s))
         except asyncio.CancelledError:
-            if waiter.future.done():
-                target = waiter.future.result()
-                self.note_read(target, admitted, None)
-                self.release(target, admitted)
+            if future.done():
+                self.drop(future.result(), admitted)
             raise
         finally:
             if waiter in self.waiters:
                 self.waiters.remove(waiter)
-        if not waiter.future.done():
+        if not future.done():
             raise OverloadedError(f"{admitted.service} is full")
-        return waiter.future.result()
+        return future.result()
 
     def pump(self) -> None:
-        """Place what waits, in order."""
+        """Let queues be looked at now."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def start_pump(self, service: str) -> None:
+        """Place what waits for a service, as long as anything does."""
+        if service not in self.pumps:
+            self.pumps[service] = asyncio.create_task(self.run_pump(service))
+
+    async def run_pump(self, service: str) -> None:
+        """Place what waits for a service until nothing does."""
+        try:
+            while waiter := self.find_first(service):
+                await self.place_first(waiter)
+        finally:
+            # In the same step as the last look, or a request that comes between
+            # would wait for a task that has ended.
+            del self.pumps[service]
+
+    async def place_first(self, waiter: Waiter) -> None:
+        """Place the request that goes first, or wait a moment without room.
+
+        A later request does not overtake it, or large prompts would never go.
+        """
+        service = waiter.admitted.service
+        changed = self.changed
+        target = await self.try_place(waiter.admitted, waiter.excluded)
+        if target is None:
+            try:
+                async with asyncio.timeout(self.look_s.get(service, LOOK_S)):
+                    await changed.wait()
+            except asyncio.TimeoutError:
+                # It is time to ask again.
+                return
+        elif waiter in self.waiters and not waiter.future.done():
+            self.waiters.remove(waiter)
+            waiter.future.set_result(target)
+        else:
+            self.drop(target, waiter.admitted)
+
+    def find_first(self, service: str) -> Waiter | None:
+        """Return the waiting request that goes first."""
         now_s = self.get_time_s()
-        blocked: set[str] = set()
-        for waiter in sorted(self.waiters, key=lambda w: get_order(w.place, now_s)):
-            service = waiter.admitted.service
-            if waiter.future.done() or service in blocked:
-                continue
-            if not self.fits_window(waiter.admitted):
-                # Smaller prompts do not overtake, or large ones would never go.
-                blocked.add(service)
-                continue
-            target = self.place(waiter.admitted, waiter.excluded)
-            if target is not None:
-                self.waiters.remove(waiter)
-                waiter.future.set_result(target)
+        own = [w for w in self.waiters if w.admitted.service == service]
+        return min(own, key=lambda w: get_order(w.claim, now_s), default=None)
+
+    # Places.
+
+    def make_call(self, admitted: Admitted, excluded: frozenset[str]) -> PlaceCall:
+        """Return what a request needs."""
+        facts = admitted.facts
+        claim = make_claim(admitted)
+        suspects = [
+            target.target_id
+            for target in self.view.get_targets(admitted.service)
+            if self.board.is_suspect(target)
+        ]
+        return PlaceCall(
+            service=admitted.service,
+            key=facts.affinity_key if admitted.route.has_context else "",
+            model=facts.model,
+            prompt_tokens=facts.prompt_tokens,
+            shared_tokens=facts.shared_tokens,
+            output_tokens=facts.output_tokens,
+            objective_s=admitted.route.objective_s,
+            is_late=not can_be_on_time(claim, self.get_time_s()),
+            data_centre=self.follower.node.data_centre,
+            excluded=sorted(excluded),
+            suspects=suspects,
+        )
+
+    async def try_place(
+        self, admitted: Admitted, excluded: frozenset[str]
+    ) -> TargetRecord | None:
+        """Return a target that the request is counted at, or None without room."""
+        call = self.make_call(admitted, excluded)
+        answered = await self.places.ask(call)
+        if answered is None:
+            self.look_s.pop(admitted.service, None)
+            return self.place(admitted, call)
+        answer, place = answered
+        if place is None:
+            self.look_s[admitted.service] = answer.wait_s
+            return None
+        target = self.view.find(admitted.service, answer.target_id)
+        if target is None or not self.view.is_usable(target, call):
+            # This node knows more of it than the coordinator does.
+            self.places.give_back(place)
+            return self.place(admitted, call)
+        self.given[id(admitted)] = place
+        self.board.begin(target, admitted.facts.prompt_tokens)
+        return target
+
+    def place(self, admitted: Admitted, call: PlaceCall) -> TargetRecord | None:
+        """Choose a target by what this node knows itself, and count there."""
+        if not self.fits_window(admitted):
+            return None
+        targets = [
+            target
+            for target in self.view.get_targets(admitted.service)
+            if target.target_id not in call.excluded
+            and self.view.is_usable(target, call)
+            and self.has_place(target, call)
+        ]
+        mean = self.get_mean_load(targets)
+        store = self.view.find_store(call)
+        candidates = []
+        for target in targets:
+            seen = self.board.get(target.target_id)
+            others = self.follower.other_loads.get(target.target_id, NOTHING)
+            believed = believe_others(others.running, mean, seen.service_s)
+            candidates.append(
+                self.view.describe(
+                    target,
+                    call,
+                    store,
+                    seen.running + believed,
+                    seen.unread_tokens,
+                )
+            )
+        ties = [self.random.random() for _ in candidates]
+        chosen = choose_target(candidates, call.key, ties, self.follower.node_count)
+        if chosen is None:
+            return None
+        target = next(t for t in targets if t.target_id == chosen.target_id)
+        self.board.begin(target, call.prompt_tokens)
+        if admitted.route.has_context:
+            self.get_window(admitted.service).begin(
+                id(admitted), call.prompt_tokens, call.objective_s, self.get_time_s()
+            )
+        return target
+
+    def has_place(self, target: TargetRecord, call: PlaceCall) -> bool:
+        """Whether this node may send a target one more request."""
+        seen = self.board.get(target.target_id)
+        own = FleetLoad(seen.running, seen.running_tokens)
+        others = self.follower.other_loads.get(target.target_id, NOTHING)
+        engine = self.view.get_engine(target.service)
+        room = TargetRoom(target.slots, engine.context_tokens if engine else None)
+        count = self.follower.node_count
+        return has_room(own, others, call.prompt_tokens, room, count)
+
+    def get_mean_load(self, targets: list[TargetRecord]) -> float:
+        """Return what the other nodes have at a target on average."""
+        if not targets:
+            return 0.0
+        loads = self.follower.other_loads
+        running = sum(loads.get(t.target_id, NOTHING).running for t in targets)
+        return running / len(targets)
 
     def get_window(self, service: str) -> SendWindow:
         """Return what this node may have unread at a service."""
@@ -194,6 +329,8 @@
         window = self.get_window(admitted.service)
         return window.may_send(admitted.facts.prompt_tokens, self.get_time_s())
 
+    # What becomes of a place.
+
     def note_read(
         self, target: TargetRecord, admitted: Admitted, duration_s: float | None
     ) -> None:
@@ -206,6 +343,9 @@
         """
         tokens = admitted.facts.prompt_tokens
         self.board.note_first(target, tokens)
+        place = self.given.get(id(admitted))
+        if place is not None and duration_s is not None:
+            self.places.note_read(place)
         window = self.get_window(target.service)
         window.end(id(admitted))
         if duration_s is not None and admitted.route.has_context:
@@ -215,141 +355,18 @@
     def release(self, target: TargetRecord, admitted: Admitted) -> None:
         """Count a request out of a target."""
         self.board.end(target, admitted.facts.prompt_tokens)
+        place = self.given.pop(id(admitted), None)
+        if place is not None:
+            self.places.give_back(place)
         self.pump()
 
-    def place(
-        self, admitted: Admitted, excluded: frozenset[str]
-    ) -> TargetRecord | None:
-        """Choose a target that has a place and count the request there."""
-        facts = admitted.facts
-        if not self.fits_window(admitted):
-            return None
-        targets = [
-            target
-            for target in self.by_service.get(admitted.service, ())
-            if target.target_id not in excluded and self.has_place(target, admitted)
-        ]
-        store = None
-        if admitted.route.has_context:
-            store = find_store(self.follower.configuration, facts.affinity_key)
-        mean = self.get_mean_load(targets)
-        candidates = [self.describe(t, admitted, store, mean) for t in targets]
-        chosen = choose_target(
-            candidates,
-            facts.affinity_key if admitted.route.has_context else "",
-            [self.random.random() for _ in candidates],
-            self.follower.node_count,
-        )
-        if chosen is None:
-            return None
-        target = next(t for t in targets if t.target_id == chosen.target_id)
-        self.board.begin(target, facts.prompt_tokens)
-        self.get_window(admitted.service).begin(
-            id(admitted),
-            facts.prompt_tokens,
-            admitted.route.objective_s,
-            self.get_time_s(),
-        )
-        return target
-
-    def has_place(self, target: TargetRecord, admitted: Admitted) -> bool:
-        """Whether this node may send a target one more request."""
-        seen = self.board.get(target.target_id)
-        if seen.is_replaced or target.is_loading:
-            # An engine that changes its weights rejects whatever comes.
-            return False
-        if self.is_expired(target, seen, admitted.facts.model):
-            return False
-        if target.is_retiring and (
-            admitted.facts.output_tokens * seen.token_s > SHORT_S
-        ):
-            return False
-        own = FleetLoad(seen.running, seen.running_tokens)
-        others = self.follower.other_loads.get(target.target_id, NOTHING)
-        configuration = self.follower.configuration
-        service = configuration.services_by_name.get(target.service)
-        room = service.engine.context_tokens if service and service.engine else None
-        return has_room(
-            own,
-            others,
-            admitted.facts.prompt_tokens,
-            TargetRoom(target.slots, room),
-            self.follower.node_count,
-        )
-
-    def get_transfer_s(
-        self, target: TargetRecord, admitted: Admitted, store: StoreSize | None
-    ) -> float:
-        """Return the time to bring a request's shared context to a target."""
-        tokens = admitted.facts.shared_tokens
-        read_s = tokens / READ_TOKENS_PER_S
-        if store is None or store.address not in self.follower.keepers:
-            return read_s
-        service = self.follower.configuration.services_by_name[target.service]
-        if service.engine is None:
-            return read_s
-        transfer_s = tokens * service.engine.token_bytes / store.link_bytes_per_s
-        if target.data_centre != store.data_centre:
-            transfer_s *= REMOTE_COST
-        return min(read_s, store.first_s + transfer_s)
-
-    def get_mean_load(self, targets: list[TargetRecord]) -> float:
-        """Return what the other nodes have at a target on average."""
-        if not targets:
-            return 0.0
-        loads = self.follower.other_loads
-        running = sum(loads.get(t.target_id, NOTHING).running for t in targets)
-        return running / len(targets)
+    def drop(self, target: TargetRecord, admitted: Admitted) -> None:
+        """Give back a place that the request did not use."""
+        self.note_read(target, admitted, None)
+        self.release(target, admitted)
 
-    def describe(
-        self,
-        target: TargetRecord,
-        admitted: Admitted,
-        store: StoreSize | None,
-        mean: float,
-    ) -> Candidate:
-        """Return a target as the policy sees it."""
-        seen = self.board.get(target.target_id)
-        others = self.follower.other_loads.get(target.target_id, NOTHING)
-        model = admitted.facts.model
-        version = self.find_version(target, seen, model)
-        named = self.follower.weights.get(model, 0)
-        return Candidate(
-            target.target_id,
-            max(1, target.slots),
-            seen.running + believe_others(others.running, mean, seen.service_s),
-            seen.unread_tokens,
-            seen.service_s,
-            seen.failure_rate,
-            seen.suspect_until_s > self.get_time_s(),
-            self.board.is_doubtful(target),
-            version is not None and version < named,
-            target.data_centre != self.follower.node.data_centre,
-            target.cold_s,
-            self.get_transfer_s(target, admitted, store),
-        )
 
-    def is_expired(self, target: TargetRecord, seen: Seen, model: str) -> bool:
-        """Whether a target's weights are older than may still begin a request."""
-        named = self.follower.weights.get(model)
-        if named is None:
-            return False
-        version = self.find_version(target, seen, model)
-        if version is None or version >= named:
-            return False
-        limit_s = self.version_s * VERSION_SHARE
-        return self.follower.get_weights_age_s(model) > limit_s
-
-    def find_version(self, target: TargetRecord, seen: Seen, model: str) -> int | None:
-        """Return the weight version of a target, if it is known."""
-        told = target.versions.get(model)
-        answered = (seen.versions or {}).get(model)
-        if answered is not None:
-            return max(told or 0, answered[0])
-        return told
-
-
-def make_place(admitted: Admitted) -> Place:
+def make_claim(admitted: Admitted) -> Claim:
     """Return a request's claim to a place."""
     due_s = admitted.request.read_at_s + admitted.route.objective_s
-    return Place(admitted.rank, due_s)
+    return Claim(admitted.rank, due_s)
--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -196,7 +196,7 @@
         context = None
         if self.route.has_context:
             seen = self.services.board.get(target.target_id)
-            version = dispatcher.find_version(target, seen, admitted.facts.model)
+            version = dispatcher.view.find_version(target, seen, admitted.facts.model)
             context = await self.services.planner.plan(admitted, target, version)
         organisation = admitted.organisation
         return Sending(
@@ -326,7 +326,6 @@
             self.is_unread = False
             duration_s = services.get_time_s() - self.sent_s
             services.dispatcher.note_read(target, self.admitted, duration_s)
-            services.dispatcher.pump()
         if self.first_event_s is None:
             self.first_event_s = services.get_time_s()
             services.note_first_event(self.first_event_s - self.started_s)
--- a/tests/policy/test_send_window.py
+++ b/tests/policy/test_send_window.py
@@ -1,4 +1,4 @@
-"""What a node may have unread, and a replay of load at the edge of what engines read."""
+"""What a node may have unread, and a replay of load at the edge of capacity."""
 
 from __future__ import annotations
 
@@ -80,8 +80,7 @@
 
 @dataclass
 class Engine:
-    """An engine that reads its prompts in turn; those beyond its room cost it what it
-    kept."""
+    """Reads prompts in turn; those beyond its room cost it what it kept."""
 
     free_s: float = 0.0
     unread: int = 0
--- a/tests/relay/relay_case.py
+++ b/tests/relay/relay_case.py
@@ -32,6 +32,7 @@
 from laburnumpitch.relay.request import Admitted, ContextPlan, RequestFacts
 from laburnumpitch.relay.retry_share import RetryShare
 from laburnumpitch.relay.services import RelayServices
+from laburnumpitch.relay.target_view import TargetView
 from laburnumpitch.transport.http_client import HttpClient
 from laburnumpitch.transport.http_server import HttpRequest, HttpServer
 
@@ -86,6 +87,13 @@
         return ContextPlan("none")
 
 
+class NoCoordinator:
+    """Leaves every choice to the node."""
+
+    async def ask(self, call) -> None:
+        """Give no answer."""
+
+
 class ScriptedTarget:
     """A target that answers each request by the next script.
 
@@ -192,7 +200,8 @@
         )
         board = TargetBoard(time.monotonic)
         source = random.Random(1)
-        dispatcher = Dispatcher(follower, board, time.monotonic, source, 12.0)
+        view = TargetView(follower, board, time.monotonic, 12.0)
+        dispatcher = Dispatcher(view, NoCoordinator(), time.monotonic, source)
         retry_share = RetryShare(0.2, 100.0, 10.0, lambda: 1, time.monotonic)
         self.deaths: list[object] = []
         services = RelayServices(
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -18,7 +18,7 @@
         async def scenario() -> None:
             dispatcher = self.services.dispatcher
             admitted = self.make_admitted("once", prompt_tokens=500)
-            limit = 2 * dispatcher.by_service["shop"][0].slots
+            limit = 2 * dispatcher.view.get_targets("shop")[0].slots
             held = [
                 await dispatcher.acquire(admitted, frozenset(), self.get_end_s())
                 for _ in range(limit)
@@ -44,7 +44,7 @@
         async def scenario() -> None:
             dispatcher = self.services.dispatcher
             admitted = self.make_admitted("once", prompt_tokens=0)
-            for _ in range(2 * dispatcher.by_service["shop"][0].slots):
+            for _ in range(2 * dispatcher.view.get_targets("shop")[0].slots):
                 await dispatcher.acquire(admitted, frozenset(), self.get_end_s())
             try:
                 await dispatcher.acquire(admitted, frozenset(), self.get_end_s())
