--- a/src/laburnumpitch/fleet/hub.py
+++ b/src/laburnumpitch/fleet/hub.py
@@ -78,7 +78,8 @@
     Args:
         replica: This node's replica.
         interval_s: Interval of the targets' announcements.
-        list_stores: Returns the addresses of the stores that need a keeper.
+        list_duties: Returns names of what needs one node each: stores by their
+            addresses, and services whose places are handed out.
         get_keepers: Returns the keepers that this node knows; a new term keeps
             those that live.
         get_time_s: Steady time.
@@ -88,17 +89,20 @@
         self,
         replica: Replica,
         interval_s: float,
-        list_stores: Callable[[], list[str]],
+        list_duties: Callable[[], list[str]],
         get_keepers: Callable[[], dict[str, str]],
         get_time_s: Callable[[], float],
     ) -> None:
         self.replica = replica
         self.interval_s = interval_s
-        self.list_stores = list_stores
+        self.list_duties = list_duties
         self.get_keepers = get_keepers
         self.get_time_s = get_time_s
         self.log = get_logger()
         self.changed = asyncio.Event()
+        self.heard = asyncio.Event()
+        """Set when a node calls; held calls do not wait for it, or each call would
+        wake all others."""
         self.reset(-1)
 
     def reset(self, term: int) -> None:
@@ -129,6 +133,12 @@
         """Let every held call look again."""
         self.changed.set()
         self.changed = asyncio.Event()
+        self.note_heard()
+
+    def note_heard(self) -> None:
+        """Let whoever waits for nodes look again."""
+        self.heard.set()
+        self.heard = asyncio.Event()
 
     @property
     def sequence(self) -> int:
@@ -166,7 +176,7 @@
             self.log.info("node_follows", host=call.node.host, term=self.term)
         self.followers[call.node.host] = follower
         self.loads.take(call.node.host, call.loads)
-        self.wake()
+        self.note_heard()
         deadline_s = self.get_time_s() + HOLD_S
         while not self.has_news(call):
             remaining_s = deadline_s - self.get_time_s()
@@ -174,7 +184,8 @@
                 break
             changed = self.changed
             try:
-                await asyncio.wait_for(changed.wait(), remaining_s)
+                async with asyncio.timeout(remaining_s):
+                    await changed.wait()
             except asyncio.TimeoutError:
                 break
             self.check_term()
@@ -233,7 +244,8 @@
                 self.log.info("change_unconfirmed", sequence=sequence, late=late[:5])
                 return False
             try:
-                await asyncio.wait_for(self.changed.wait(), remaining_s)
+                async with asyncio.timeout(remaining_s):
+                    await self.heard.wait()
             except asyncio.TimeoutError:
                 continue
         return False
@@ -286,7 +298,7 @@
             for host, follower in sorted(self.followers.items())
             if now_s - follower.heard_s < KEEPER_LOST_S and follower.node.has_disk
         ]
-        keepers = assign_keepers(self.list_stores(), live, self.keepers)
+        keepers = assign_keepers(self.list_duties(), live, self.keepers)
         if keepers != self.keepers:
             self.keepers = keepers
             self.log.info("keepers_named", keepers=keepers)
