--- a/harness/soak/faults.py
+++ b/harness/soak/faults.py
@@ -69,6 +69,7 @@
             self.harm_link,
             self.harm_link,
             self.fail_target,
+            self.fill_service,
         ]
         planned_from_s = time.monotonic() + unplanned_s
         while True:
@@ -204,19 +205,30 @@
             self.busy.discard(target.name)
 
     async def fail_target(self) -> None:
-        """Let a target fail part of its requests, or say that it is full."""
+        """Let a target fail part of its requests."""
         if target := self.take_target():
             self.note(f"fail {target.name}")
-            slots = target.slots
-            if self.random.random() < 0.5:
-                target.failure_share = 0.5
-            else:
-                target.slots = 0
+            target.failure_share = 0.5
             await asyncio.sleep(self.draw_s())
-            target.failure_share, target.slots = 0.0, slots
+            target.failure_share = 0.0
             self.note(f"heal {target.name}")
             self.busy.discard(target.name)
 
+    async def fill_service(self) -> None:
+        """Let all targets of a service say that they are full."""
+        service = self.random.choice(sorted({t.service for t in self.targets}))
+        if not self.take([f"full {service}"]):
+            return
+        self.note(f"full {service}")
+        filled = [target for target in self.targets if target.service == service]
+        for target in filled:
+            target.is_full = True
+        await asyncio.sleep(self.draw_s() / 2)
+        for target in filled:
+            target.is_full = False
+        self.note(f"free {service}")
+        self.busy.discard(f"full {service}")
+
     async def harm_link(self) -> None:
         """Harm the link in front of a target."""
         target = self.take_target()
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -124,6 +124,8 @@
         self.address = ""
         """Address that it announces."""
         self.slots = 16
+        self.is_full = False
+        """Whether it says that it is full, whatever it has."""
         self.failure_share = 0.0
         """Part of the answers that are failures of the target's own."""
         self.version = 1
@@ -279,7 +281,7 @@
         if self.has_weights and expected and int(expected) != self.version:
             await self.reject(request, responder, 421)
             return
-        if self.running >= self.slots or self.is_loading:
+        if self.is_full or self.running >= self.slots or self.is_loading:
             await self.reject(request, responder, 503)
             return
         attempt = request.get_header("attempt-id")
