--- a/src/laburnumpitch/policy/rollout.py
+++ b/src/laburnumpitch/policy/rollout.py
@@ -58,20 +58,24 @@
     return max(least, total - kept)
 
 
-def choose_loads(pool: PoolRollout) -> list[str]:
-    """Return the engines to order now."""
-    if pool.is_paused:
-        return []
-    loading = sum(engine.is_loading for engine in pool.engines)
-    room = min(count_allowed_loads(pool) - loading, pool.free_loads)
-    behind = [
+def list_behind(pool: PoolRollout) -> list[str]:
+    """Return the engines that lack the version and may be ordered to load it."""
+    return [
         engine.target_id
         for engine in sorted(pool.engines, key=lambda engine: engine.target_id)
         if engine.weight_version != pool.wanted_version
         and not engine.is_loading
         and not engine.is_backing_off
     ]
-    return behind[: max(0, room)]
+
+
+def choose_loads(pool: PoolRollout) -> list[str]:
+    """Return the engines to order now."""
+    if pool.is_paused:
+        return []
+    loading = sum(engine.is_loading for engine in pool.engines)
+    room = min(count_allowed_loads(pool) - loading, pool.free_loads)
+    return list_behind(pool)[: max(0, room)]
 
 
 def get_capacity_floor(total: int, load_s: float, version_s: float) -> float:
@@ -91,11 +95,4 @@
     allowed = count_allowed_loads(pool)
     loading = sum(engine.is_loading for engine in pool.engines)
     away = max(1, math.floor(len(pool.engines) * MAX_AWAY_SHARE))
-    behind = [
-        engine.target_id
-        for engine in sorted(pool.engines, key=lambda engine: engine.target_id)
-        if engine.weight_version != pool.wanted_version
-        and not engine.is_loading
-        and not engine.is_backing_off
-    ]
-    return behind[: max(0, min(allowed, away - loading))]
+    return list_behind(pool)[: max(0, min(allowed, away - loading))]
--- a/src/laburnumpitch/relay/dispatcher.py
+++ b/src/laburnumpitch/relay/dispatcher.py
@@ -81,23 +81,23 @@
         """Places by the request that has them."""
         self.windows: dict[str, SendWindow] = {}
         """What this node may have unread by its own knowledge, by service."""
-        self.pumps: dict[str, asyncio.Task[None]] = {}
+        self.placing: dict[str, asyncio.Task[None]] = {}
         """Tasks that place what waits, by service."""
         self.changed = asyncio.Event()
-        self.look_s: dict[str, float] = {}
+        self.ask_again_s: dict[str, float] = {}
         """Time after which a coordinator wants to be asked again, by service."""
         self.follower.on_change.append(self.on_targets)
-        self.follower.on_loads = self.pump
+        self.follower.on_loads = self.look_again
 
     def close(self) -> None:
         """Place nothing more."""
-        for task in list(self.pumps.values()):
+        for task in list(self.placing.values()):
             task.cancel()
 
     def on_targets(self) -> None:
         """Take changed targets."""
         self.view.update()
-        self.pump()
+        self.look_again()
 
     def count_waiting(self) -> int:
         """Return the number of requests that wait for a place."""
@@ -149,7 +149,7 @@
         future = asyncio.get_running_loop().create_future()
         waiter = Waiter(make_claim(admitted), admitted, excluded, future)
         self.waiters.append(waiter)
-        self.start_pump(admitted.service)
+        self.start_placing(admitted.service)
         try:
             # Not wait_for, which drops a cancellation that comes with the result.
             await asyncio.wait({future}, timeout=max(0.0, wait_s))
@@ -164,17 +164,17 @@
             raise OverloadedError(f"{admitted.service} is full")
         return future.result()
 
-    def pump(self) -> None:
+    def look_again(self) -> None:
         """Let queues be looked at now."""
         self.changed.set()
         self.changed = asyncio.Event()
 
-    def start_pump(self, service: str) -> None:
+    def start_placing(self, service: str) -> None:
         """Place what waits for a service, as long as anything does."""
-        if service not in self.pumps:
-            self.pumps[service] = asyncio.create_task(self.run_pump(service))
+        if service not in self.placing:
+            self.placing[service] = asyncio.create_task(self.run_placing(service))
 
-    async def run_pump(self, service: str) -> None:
+    async def run_placing(self, service: str) -> None:
         """Place what waits for a service until nothing does."""
         try:
             while waiter := self.find_first(service):
@@ -182,7 +182,7 @@
         finally:
             # In the same step as the last look, or a request that comes between
             # would wait for a task that has ended.
-            del self.pumps[service]
+            del self.placing[service]
 
     async def place_first(self, waiter: Waiter) -> None:
         """Place the request that goes first, or wait a moment without room.
@@ -194,7 +194,7 @@
         target = await self.try_place(waiter.admitted, waiter.excluded)
         if target is None:
             try:
-                async with asyncio.timeout(self.look_s.get(service, LOOK_S)):
+                async with asyncio.timeout(self.ask_again_s.get(service, LOOK_S)):
                     await changed.wait()
             except asyncio.TimeoutError:
                 # It is time to ask again.
@@ -243,11 +243,11 @@
         call = self.make_call(admitted, excluded)
         answered = await self.places.ask(call)
         if answered is None:
-            self.look_s.pop(admitted.service, None)
+            self.ask_again_s.pop(admitted.service, None)
             return self.place(admitted, call)
         answer, place = answered
         if place is None:
-            self.look_s[admitted.service] = answer.wait_s
+            self.ask_again_s[admitted.service] = answer.wait_s
             return None
         target = self.view.find(admitted.service, answer.target_id)
         if target is None or not self.view.is_usable(target, call):
@@ -358,7 +358,7 @@
         place = self.given.pop(id(admitted), None)
         if place is not None:
             self.places.give_back(place)
-        self.pump()
+        self.look_again()
 
     def drop(self, target: TargetRecord, admitted: Admitted) -> None:
         """Give back a place that the request did not use."""
