--- a/src/laburnumpitch/relay/coordinator.py
+++ b/src/laburnumpitch/relay/coordinator.py
@@ -10,7 +10,7 @@
 from ..fleet.messages import PlaceAnswer, PlaceCall, PlaceProgress, TargetRecord
 from ..logging import get_logger
 from ..policy.place_ledger import PlaceLedger
-from ..policy.placement import choose_target
+from ..policy.placement import Candidate, choose_target
 from .target_view import TargetView
 
 DUTY_PREFIX = "places/"
@@ -114,10 +114,24 @@
             for target in self.view.get_targets(call.service)
             if target.target_id not in barred and self.view.is_usable(target, call)
         ]
-        free = [t for t in targets if self.has_room(ledger, t, call)]
+        candidates = self.describe_free(ledger, targets, call)
+        ties = [self.random.random() for _ in candidates]
+        chosen = choose_target(candidates, call.key, ties, 1, ledger.read_rate)
+        if chosen is None:
+            return PlaceAnswer("", 0, self.choose_wait_s(ledger, targets, call))
+        number = ledger.begin(chosen.target_id, call.prompt_tokens, now_s)
+        return PlaceAnswer(chosen.target_id, number, 0.0)
+
+    def describe_free(
+        self, ledger: PlaceLedger, targets: list[TargetRecord], call: PlaceCall
+    ) -> list[Candidate]:
+        """Return the targets that have room, as the policy sees them."""
+        now_s = self.get_time_s()
         store = self.view.find_store(call)
         candidates = []
-        for target in free:
+        for target in targets:
+            if not self.has_room(ledger, target, call):
+                continue
             load = ledger.get(target.target_id)
             candidate = self.view.describe(
                 target, call, store, load.running, load.unread_tokens
@@ -125,12 +139,7 @@
             if self.suspects_s.get(target.target_id, 0.0) > now_s:
                 candidate = replace(candidate, is_doubtful=True)
             candidates.append(candidate)
-        ties = [self.random.random() for _ in candidates]
-        chosen = choose_target(candidates, call.key, ties, 1, ledger.read_rate)
-        if chosen is None:
-            return PlaceAnswer("", 0, self.choose_wait_s(ledger, targets, call))
-        number = ledger.begin(chosen.target_id, call.prompt_tokens, now_s)
-        return PlaceAnswer(chosen.target_id, number, 0.0)
+        return candidates
 
     def has_room(
         self, ledger: PlaceLedger, target: TargetRecord, call: PlaceCall
