--- a/src/laburnumpitch/transport/http_server.py
+++ b/src/laburnumpitch/transport/http_server.py
@@ -124,11 +124,7 @@
             self.writer.write(data)
 
     async def drain(self) -> None:
-        """Wait until the caller has taken enough.
-
-        Raises:
-            ConnectionError: If the caller has gone or takes nothing.
-        """
+        """Wait until the caller has taken enough, or raise ConnectionError."""
         transport = self.writer.transport
         if not transport.is_closing() and not transport.get_write_buffer_size():
             return
