Bound each answer in bytes and in time, over heads, framing and trailers

Cause: each time-out of the HTTP client was that of one read, and only a body had a bound, of 64 MB. A server that goes on until its caller closes held a call for ever: informational heads, a head line or chunk that grows by a byte now and then, small chunks, unframed bytes. A resumable stream that sends only comments or fields without an event never moved to another target.

A body of unknown length leaves half of the remaining time for the next target. A resumable stream goes on only by events with a new identifier. Data that has arrived by the deadline still counts, as after a suspension. Checks of answers and streams to clients moved to modules of their own.

Ruled out: a shorter read time-out, which cuts slow but sound streams.

--- a/src/laburnumpitch/entry/service_run.py
+++ b/src/laburnumpitch/entry/service_run.py
@@ -55,6 +55,8 @@
 RESEND_WAIT_S = 10.0
 """Time that a resend waits for the first request's answer."""
 
+BODY_TIMEOUT_S = 30.0
+"""Time for the rest of an answer after the deadline."""
 RESEND_POLL_INTERVAL_S = 0.1
 """Interval of the checks whether the first request has ended."""
 
@@ -378,21 +380,21 @@
 
     async def forward(self, target: TargetInfo) -> KeptAnswer:
         """Forward the call and read the complete answer."""
-        headers = [
-            item for item in self.call.headers if item[0] in FORWARDED_REQUEST_HEADERS
-        ]
+        allowed = FORWARDED_REQUEST_HEADERS
+        headers = [item for item in self.call.headers if item[0] in allowed]
         headers.append(("x-request-id", self.request_id))
         headers.append(("x-organisation", self.organisation))
+        timeout_s = max(1.0, self.deadline_s - time.monotonic())
         answer = await self.services.http_clients.get(target.address).request(
             self.call.method,
             self.call.path,
             headers,
             self.call.body,
-            first_byte_timeout_s=max(1.0, self.deadline_s - time.monotonic()),
+            first_byte_timeout_s=timeout_s,
+            total_timeout_s=timeout_s + BODY_TIMEOUT_S,
             max_idle_s=MAX_IDLE_S if self.is_idempotent else 0.0,
         )
         body = await answer.read()
-        answer_headers = [
-            item for item in answer.headers if item[0] not in DROPPED_ANSWER_HEADERS
-        ]
+        dropped = DROPPED_ANSWER_HEADERS
+        answer_headers = [item for item in answer.headers if item[0] not in dropped]
         return KeptAnswer(answer.status, answer_headers, body)
--- a/src/laburnumpitch/platform/target_client.py
+++ b/src/laburnumpitch/platform/target_client.py
@@ -41,7 +41,16 @@
 """Long-polling time: how long a store waits for an event before it answers."""
 
 EVENTS_TIMEOUT_S = 2.0
-"""Timeout of reading events or a listing; longer than the long-polling time."""
+"""Timeout of reading events; longer than the long-polling time."""
+
+LISTING_TIMEOUT_S = 4.0
+"""Timeout of reading a listing, which may have thousands of pieces."""
+
+MAX_LISTING_BYTES = 8 * 1024 * 1024
+"""Maximum size of a listing or of events."""
+
+MAX_STATE_BYTES = 256 * 1024
+"""Maximum size of the answer to any other call."""
 
 SWITCH_MODE_WAIT = "wait"
 """Switch mode in which runs in progress finish on the weights they began on."""
@@ -144,6 +153,7 @@
     headers: Headers,
     body: bytes = b"",
     timeout_s: float = REPORT_TIMEOUT_S,
+    max_answer_bytes: int = MAX_STATE_BYTES,
 ) -> bytes:
     """Call a target and return the body of a successful answer.
 
@@ -156,7 +166,8 @@
         headers,
         body,
         first_byte_timeout_s=timeout_s,
-        gap_timeout_s=timeout_s,
+        total_timeout_s=timeout_s,
+        max_answer_bytes=max_answer_bytes,
     )
     content = await answer.read()
     if answer.status >= 300:
@@ -195,7 +206,13 @@
         path = f"{EVENTS_PATH}?since={since}"
         headers = [(WAIT_MS_HEADER, str(EVENTS_WAIT_MS))]
         content = await call_target(
-            self.clients, address, "GET", path, headers, timeout_s=EVENTS_TIMEOUT_S
+            self.clients,
+            address,
+            "GET",
+            path,
+            headers,
+            timeout_s=EVENTS_TIMEOUT_S,
+            max_answer_bytes=MAX_LISTING_BYTES,
         )
         wire = decode_answer(content, WireEvents)
         events = tuple(
@@ -213,7 +230,13 @@
             TargetError: If the store does not answer.
         """
         content = await call_target(
-            self.clients, address, "GET", LISTING_PATH, [], timeout_s=EVENTS_TIMEOUT_S
+            self.clients,
+            address,
+            "GET",
+            LISTING_PATH,
+            [],
+            timeout_s=LISTING_TIMEOUT_S,
+            max_answer_bytes=MAX_LISTING_BYTES,
         )
         wire = decode_answer(content, WireListing)
         held = tuple(((s, piece), tokens) for s, piece, tokens, _ in wire.held_entries)
@@ -282,7 +305,8 @@
             [*JSON_HEADERS, (EXPECT_INSTANCE, target.target_id)],
             msgspec.json.encode(wire),
             first_byte_timeout_s=ORDER_TIMEOUT_S,
-            gap_timeout_s=ORDER_TIMEOUT_S,
+            total_timeout_s=ORDER_TIMEOUT_S,
+            max_answer_bytes=MAX_STATE_BYTES,
             before_write=order.before_write,
         )
         await answer.read()
--- /dev/null
+++ b/src/laburnumpitch/relay/answer_checks.py
@@ -0,0 +1,55 @@
+"""Checks of a target's answer before any of it may reach a client."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import NoReturn
+
+from ..errors import MalformedAnswerError, TargetRefusedError
+from ..fleet.messages import TargetRecord
+from .request import AnswerMetadata
+from .target_statistics import TargetStatistics
+
+
+def check_answer(metadata: AnswerMetadata, request_id: str) -> None:
+    """Check that an answer belongs to a request and has its own bytes.
+
+    Raises:
+        MalformedAnswerError: If it does not, as with a late copy of another answer.
+    """
+    if metadata.request_id != request_id:
+        raise MalformedAnswerError("the answer is for another request")
+    if metadata.is_encoded:
+        raise MalformedAnswerError("the body has a content encoding")
+
+
+def raise_not_run(
+    statistics: TargetStatistics,
+    target: TargetRecord,
+    metadata: AnswerMetadata,
+    model: str,
+    weight_versions: Mapping[str, int],
+) -> NoReturn:
+    """Record why a target did not run a request.
+
+    Args:
+        statistics: This node's statistics of each target.
+        target: The target.
+        metadata: What its answer states.
+        model: Model of the request.
+        weight_versions: The newest weight version of each model.
+
+    Raises:
+        TargetRefusedError: Always.
+    """
+    if not metadata.is_misdirected:
+        statistics.record_rejection(target)
+        raise TargetRefusedError("the target is full", sent=False)
+    if metadata.instance_id and metadata.instance_id != target.target_id:
+        statistics.mark_replaced(target)
+        raise TargetRefusedError("another target has the address", sent=False)
+    version = metadata.weight_version or weight_versions.get(model)
+    if version is not None:
+        statistics.record_version(target, model, version)
+    statistics.record_rejection(target)
+    raise TargetRefusedError("the target has another weight version", sent=False)
--- a/src/laburnumpitch/relay/event_stream.py
+++ b/src/laburnumpitch/relay/event_stream.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+from ..errors import MalformedAnswerError
+
+MAX_EVENT_BYTES = 1024 * 1024
+"""Maximum size of one event."""
+
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
 
@@ -15,10 +20,16 @@
         """Identifier of the last complete event that has one."""
 
     def feed(self, data: bytes) -> bytes:
-        """Add received data and return the events that are complete now."""
+        """Add received data and return the events that are complete now.
+
+        Raises:
+            MalformedAnswerError: If an event is larger than `MAX_EVENT_BYTES`.
+        """
         self.pending += data
         end = self.pending.rfind(EVENT_END)
         if end < 0:
+            if len(self.pending) > MAX_EVENT_BYTES:
+                raise MalformedAnswerError("an event of the stream is too large")
             return b""
         complete = self.pending[: end + len(EVENT_END)]
         self.pending = self.pending[end + len(EVENT_END) :]
--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from ..errors import (
     DeadlineExceededError,
     MalformedAnswerError,
@@ -13,25 +15,19 @@
 from ..fleet.messages import TargetRecord
 from ..transport.http_client import HttpAnswer
 from ..transport.http_server import Headers, Responder
+from .answer_checks import check_answer, raise_not_run
 from .configuration import STREAMING
-from .event_stream import EventSplitter
-from .request import AdmittedRequest, AnswerMetadata, FallbackAnswer, TargetRequest
+from .request import AdmittedRequest, FallbackAnswer, TargetRequest
 from .services import RelayServices
-from .timeouts import get_gap_timeout_s, get_start_timeout_s
-
-CONNECT_TIMEOUT_S = 0.35
-"""Timeout of connecting to a target. A millisecond is usual; a target that is cut off
-does not answer at all."""
-
-PROBE_TIMEOUT_S = 0.1
-"""Timeout of a probe, which is connecting to a possibly unreachable target."""
-
-MAX_IDLE_NON_RETRYABLE_S = 0.5
-"""Longest idle time of a connection that a non-retryable request uses: the target may
-close it while the request is written, which leaves open whether the request ran."""
-
-MAX_IDLE_RETRYABLE_S = 10.0
-"""Longest idle time of a connection that a retryable request uses."""
+from .stream_relay import StreamRelay
+from .timeouts import (
+    CONNECT_TIMEOUT_S,
+    MAX_IDLE_NON_RETRYABLE_S,
+    MAX_IDLE_RETRYABLE_S,
+    PROBE_TIMEOUT_S,
+    get_gap_timeout_s,
+    get_start_timeout_s,
+)
 
 MAX_REJECTIONS = 3
 """Number of targets that may reject a request or be unreachable before the request is
@@ -41,6 +37,16 @@
 """Statuses that tell a client that its request has not run. A target's own answer with
 one of them is not passed on, unless the target confirms that it did not run."""
 
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+"""Maximum size of an answer that is read completely before it is delivered."""
+
+MAX_STREAM_BYTES = 64 * 1024 * 1024
+"""Maximum size of a stream, of which a node holds one event at a time."""
+
+MAX_READ_SHARE = 0.5
+"""Share of the remaining time for an answer of unknown length, while another target can
+be tried."""
+
 SUCCESS_STATUSES = range(200, 300)
 MIN_SERVER_ERROR_STATUS = 500
 
@@ -75,7 +81,7 @@
         self.rejections = 0
         """Number of targets that rejected the request or were unreachable."""
         self.fallback: FallbackAnswer | None = None
-        self.splitter = EventSplitter()
+        self.stream = StreamRelay(responder, self.route.is_resumable)
         self.first_event_s: float | None = None
         self.last_target_id = ""
 
@@ -157,6 +163,10 @@
             return min(remaining_s, timeout_s)
         return remaining_s
 
+    def choose_deadline_s(self, timeout_s: float) -> float:
+        """Return the time by which a target must go on after `timeout_s` or less."""
+        return self.services.get_time_s() + self.choose_timeout_s(timeout_s)
+
     async def request(self, target: TargetRecord) -> HttpAnswer:
         """Write the request and return the answer once its headers have arrived.
 
@@ -181,6 +191,11 @@
             headers,
             request.body,
             first_byte_timeout_s=self.choose_timeout_s(get_start_timeout_s(self.route)),
+            gap_timeout_s=math.inf,
+            total_timeout_s=max(0.0, self.remaining_s),
+            max_answer_bytes=(
+                MAX_STREAM_BYTES if self.route.kind == STREAMING else MAX_ANSWER_BYTES
+            ),
             max_idle_s=max_idle_s,
             connect_timeout_s=PROBE_TIMEOUT_S if is_probe else CONNECT_TIMEOUT_S,
             host=request.get_header("host"),
@@ -213,7 +228,7 @@
             priority_class=admitted.priority_class,
             weight_version=version,
             context=context,
-            resume_after=self.splitter.last_event_id,
+            resume_after=self.stream.last_event_id,
         )
 
     async def handle_answer(self, target: TargetRecord, answer: HttpAnswer) -> None:
@@ -224,14 +239,17 @@
         """
         services = self.services
         metadata = services.translator.read_answer(answer.status, answer.headers)
-        answer.gap_timeout_s = self.choose_timeout_s(get_start_timeout_s(self.route))
+        answer.deadline_s = self.choose_deadline_s(get_start_timeout_s(self.route))
         if metadata.is_not_run:
             await self.drain_rejection(answer)
-            self.handle_not_run(target, metadata)
-        if metadata.request_id != self.admitted.metadata.request_id:
-            raise MalformedAnswerError("the answer is for another request")
-        if metadata.is_encoded:
-            raise MalformedAnswerError("the body has a content encoding")
+            raise_not_run(
+                services.statistics,
+                target,
+                metadata,
+                self.admitted.metadata.model,
+                services.fleet_view.weight_versions,
+            )
+        check_answer(metadata, self.admitted.metadata.request_id)
         if answer.status not in SUCCESS_STATUSES:
             await self.handle_error_answer(answer)
             return
@@ -243,34 +261,27 @@
         if self.route.kind == STREAMING:
             await self.deliver_stream(target, answer)
         else:
-            body = await answer.read()
+            body = await self.read_body(answer)
             await self.deliver(answer.status, answer.headers, body)
 
-    def handle_not_run(self, target: TargetRecord, metadata: AnswerMetadata) -> None:
-        """Record why a target did not run the request.
+    async def read_body(self, answer: HttpAnswer) -> bytes:
+        """Return the complete body; each part that arrives leaves time for the next.
+
+        A body of unknown length may have no end, so it leaves time for another target.
 
         Raises:
-            TargetRefusedError: Always.
+            TargetError: If the body is truncated, too large or stalls.
         """
-        statistics = self.services.statistics
-        if not metadata.is_misdirected:
-            statistics.record_rejection(target)
-            raise TargetRefusedError("the target is full", sent=False)
-        if metadata.instance_id and metadata.instance_id != target.target_id:
-            statistics.mark_replaced(target)
-            raise TargetRefusedError("another target has the address", sent=False)
-        model = self.admitted.metadata.model
-        desired_version = self.services.dispatcher.fleet_view.weight_versions.get(model)
-        version = metadata.weight_version or desired_version
-        if version is not None:
-            statistics.record_version(target, model, version)
-        statistics.record_rejection(target)
-        raise TargetRefusedError("the target has another weight version", sent=False)
+        timeout_s = get_start_timeout_s(self.route)
+        end_s = self.deadline_s
+        if not answer.has_length:
+            end_s = self.choose_deadline_s(self.remaining_s * MAX_READ_SHARE)
+        return await answer.read(lambda: min(end_s, self.choose_deadline_s(timeout_s)))
 
     async def drain_rejection(self, answer: HttpAnswer) -> None:
         """Read a rejection to its end, so that its connection can be reused."""
         try:
-            await answer.read()
+            await self.read_body(answer)
         except TargetError as error:
             self.services.log.debug("rejection_cut", detail=error.detail)
 
@@ -281,7 +292,7 @@
             TargetError: If another target may succeed, or if the status states that the
                 request has not run without the target confirming it.
         """
-        body = await answer.read()
+        body = await self.read_body(answer)
         if answer.status in NOT_RUN_STATUSES:
             raise TargetError("the status for not run is not confirmed")
         if answer.status >= MIN_SERVER_ERROR_STATUS and self.is_retry_allowed():
@@ -305,27 +316,16 @@
         """Send events to the client as they arrive.
 
         Raises:
-            TargetError: If the stream breaks before its end.
+            TargetError: If the stream breaks before its end, or stalls.
         """
-        is_resumable = self.route.is_resumable
-        async for data in answer.iterate_body():
-            self.record_stream_data(target)
-            part = self.splitter.feed(data) if is_resumable else data
-            if part:
-                if not self.responder.has_started:
-                    headers = self.services.make_answer_headers(answer.headers)
-                    await self.responder.start(answer.status, headers)
-                await self.responder.write(part)
-            answer.gap_timeout_s = self.choose_timeout_s(get_gap_timeout_s(self.route))
-        if not self.responder.has_started:
-            headers = self.services.make_answer_headers(answer.headers)
-            await self.responder.start(answer.status, headers)
-        if self.splitter.pending:
-            await self.responder.write(self.splitter.pending)
-        await self.responder.finish()
-
-    def record_stream_data(self, target: TargetRecord) -> None:
-        """Record that a part of a stream has arrived, which ends the prefill."""
+        headers = self.services.make_answer_headers(answer.headers)
+        gap_timeout_s = get_gap_timeout_s(self.route)
+        async for _ in self.stream.deliver(answer, headers):
+            self.record_event(target)
+            answer.deadline_s = self.choose_deadline_s(gap_timeout_s)
+
+    def record_event(self, target: TargetRecord) -> None:
+        """Record that an event of a stream has arrived, which ends the prefill."""
         services = self.services
         if self.is_prefill_pending:
             self.is_prefill_pending = False
@@ -392,7 +392,7 @@
         self.possible_runs += 1
         if error.has_died:
             services.report_death(self.admitted, target)
-        self.splitter.discard_pending()
+        self.stream.discard_pending()
         if self.has_retry_left() and services.try_spend_retry(self.admitted.service):
             return
         if self.fallback is None:
--- /dev/null
+++ b/src/laburnumpitch/relay/stream_relay.py
@@ -0,0 +1,62 @@
+"""Delivers the events of a stream to a client, from one target after another."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+
+from ..transport.http_client import HttpAnswer
+from ..transport.http_server import Headers, Responder
+from .event_stream import EventSplitter
+
+
+class StreamRelay:
+    """One stream to a client.
+
+    Args:
+        responder: Sends the answer to the client.
+        is_resumable: Whether another target may go on after a complete event; only
+            complete events are sent then.
+    """
+
+    def __init__(self, responder: Responder, is_resumable: bool) -> None:
+        self.responder = responder
+        self.is_resumable = is_resumable
+        self.splitter = EventSplitter()
+
+    @property
+    def last_event_id(self) -> str:
+        """Identifier of the last event that was sent; empty before the first."""
+        return self.splitter.last_event_id
+
+    def discard_pending(self) -> None:
+        """Discard the incomplete event of a target that failed."""
+        self.splitter.discard_pending()
+
+    async def deliver(
+        self, answer: HttpAnswer, headers: Headers
+    ) -> AsyncIterator[None]:
+        """Send a target's events; yield after each part that has a new event.
+
+        Comments and fields without an identifier are sent, but are no sign that a
+        resumable stream goes on.
+
+        Raises:
+            TargetError: If the stream breaks before its end.
+        """
+        async for data in answer.iterate_body():
+            last_event_id = self.last_event_id
+            part = self.splitter.feed(data) if self.is_resumable else data
+            if part:
+                await self.start(answer.status, headers)
+                await self.responder.write(part)
+            if not self.is_resumable or self.last_event_id != last_event_id:
+                yield
+        await self.start(answer.status, headers)
+        if self.splitter.pending:
+            await self.responder.write(self.splitter.pending)
+        await self.responder.finish()
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head of the answer, unless it was sent."""
+        if not self.responder.has_started:
+            await self.responder.start(status, headers)
--- a/src/laburnumpitch/targets/http_engine.py
+++ b/src/laburnumpitch/targets/http_engine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import AsyncIterator, Callable
 
 import msgspec
@@ -62,6 +63,7 @@
             msgspec.json.encode(request),
             first_byte_timeout_s=first_token_timeout_s,
             gap_timeout_s=TOKEN_GAP_TIMEOUT_S,
+            total_timeout_s=first_token_timeout_s,
         )
         try:
             if answer.status != 200:
@@ -76,6 +78,8 @@
                 if isinstance(item, RunEnd):
                     await self.read_body_end(answer)
                     return
+                if item.count:
+                    answer.deadline_s = time.monotonic() + TOKEN_GAP_TIMEOUT_S
             raise TargetError("the stream ended without its end marker")
         finally:
             answer.close()
--- a/src/laburnumpitch/targets/json_call.py
+++ b/src/laburnumpitch/targets/json_call.py
@@ -11,7 +11,10 @@
 from ..transport.http_client import HttpClient
 
 CALL_TIMEOUT_S = 5.0
-"""Default time for a target to answer a call."""
+"""Default timeout of a call, until its answer has ended."""
+
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+"""Maximum size of an answer; a listing of all blocks is the largest one."""
 
 JSON_HEADERS = [("content-type", "application/json")]
 
@@ -33,7 +36,7 @@
         method: HTTP method.
         path: Path and query.
         body: Value to encode as JSON, or None for an empty body.
-        timeout_s: Time until the first byte of the answer.
+        timeout_s: Timeout of the call, until its answer has ended.
         before_write: Called right before the request is written.
 
     Raises:
@@ -47,6 +50,8 @@
         JSON_HEADERS,
         data,
         first_byte_timeout_s=timeout_s,
+        total_timeout_s=timeout_s,
+        max_answer_bytes=MAX_ANSWER_BYTES,
         before_write=before_write,
     )
     content = await answer.read()
--- a/src/laburnumpitch/transport/http_client.py
+++ b/src/laburnumpitch/transport/http_client.py
@@ -14,6 +14,7 @@
 
 from ..errors import MalformedAnswerError, TargetError, TargetTimeoutError
 from ._client_pool import ClientPool
+from .body_budget import BodyBudget
 from .http_connection import HttpConnection
 from .http_server import Headers
 
@@ -29,8 +30,17 @@
 GAP_TIMEOUT_S = 10.0
 """Default timeout between two reads of an answer's body."""
 
+TOTAL_TIMEOUT_S = 120.0
+"""Default timeout of a call, from its start to the end of the answer."""
+
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
-"""Maximum size of an answer's body."""
+"""Default maximum size of an answer, with heads, framing and trailers."""
+
+MIN_PROGRESS_BYTES = 1024
+"""Size of a part of a body that shows that it is not stalled."""
+
+MAX_INFORMATIONAL_ANSWERS = 8
+"""Maximum number of 1xx heads before an answer."""
 
 MAX_IDLE_CONNECTIONS = 64
 """Maximum number of idle connections to one address."""
@@ -49,6 +59,9 @@
 )
 """Headers that apply to one connection and are never forwarded."""
 
+BODY_BUDGET = BodyBudget()
+"""Bounds the bodies that this process reads into memory."""
+
 
 class HttpAnswer:
     """An answer whose body is read as it arrives.
@@ -58,6 +71,8 @@
         connection: The connection on which the answer arrives.
         head: Status and headers.
         gap_timeout_s: Timeout between two reads of the body.
+        deadline_s: Monotonic time by which the answer must end; may be moved while the
+            body is read.
     """
 
     def __init__(
@@ -66,6 +81,7 @@
         connection: HttpConnection,
         head: h11.Response,
         gap_timeout_s: float,
+        deadline_s: float,
     ) -> None:
         self.client = client
         self.connection = connection
@@ -75,21 +91,26 @@
             for name, value in head.headers
         ]
         self.gap_timeout_s = gap_timeout_s
+        self.deadline_s = deadline_s
         self.is_complete = False
 
+    @property
+    def has_length(self) -> bool:
+        """Whether the headers state the length of the body."""
+        return any(name == "content-length" for name, _ in self.headers)
+
     async def iterate_body(self) -> AsyncIterator[bytes]:
         """Yield the body in chunks; return only once the answer is complete.
 
         Raises:
             TargetError: If the answer is truncated, times out or is too large.
         """
-        size = 0
         while True:
-            event = await self.connection.receive_event(self.gap_timeout_s)
+            gap_deadline_s = time.monotonic() + self.gap_timeout_s
+            event = await self.connection.receive_event(
+                min(self.deadline_s, gap_deadline_s)
+            )
             if isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > MAX_ANSWER_BYTES:
-                    raise MalformedAnswerError("answer exceeds the maximum size")
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self.is_complete = True
@@ -97,15 +118,32 @@
             else:
                 raise TargetError("answer truncated", has_died=True)
 
-    async def read(self) -> bytes:
+    async def read(self, choose_deadline_s: Callable[[], float] | None = None) -> bytes:
         """Return the complete body and release the connection.
 
+        Args:
+            choose_deadline_s: Returns the new deadline after each part of
+                `MIN_PROGRESS_BYTES`; the answer's deadline stays without it.
+
         Raises:
             TargetError: If the answer is truncated, times out or is too large.
         """
+        body = bytearray()
+        progress_bytes = 0
+        reservation = BODY_BUDGET.open_reservation()
         try:
-            return b"".join([chunk async for chunk in self.iterate_body()])
+            async for chunk in self.iterate_body():
+                reservation.grow(len(chunk))
+                body += chunk
+                if (
+                    choose_deadline_s
+                    and len(body) - progress_bytes >= MIN_PROGRESS_BYTES
+                ):
+                    progress_bytes = len(body)
+                    self.deadline_s = choose_deadline_s()
+            return bytes(body)
         finally:
+            reservation.close()
             self.close()
 
     def close(self) -> None:
@@ -198,6 +236,8 @@
         *,
         first_byte_timeout_s: float,
         gap_timeout_s: float = GAP_TIMEOUT_S,
+        total_timeout_s: float = TOTAL_TIMEOUT_S,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
         max_idle_s: float = MAX_IDLE_S,
         before_write: Callable[[], None] | None = None,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
@@ -210,9 +250,12 @@
             path: Path with query.
             headers: Headers; hop-by-hop headers are dropped.
             body: The complete body.
-            first_byte_timeout_s: Timeout of each read until the answer's headers
-                have arrived.
+            first_byte_timeout_s: Timeout from the connection's opening to the end of
+                the answer's headers.
             gap_timeout_s: Timeout between two reads of the answer's body.
+            total_timeout_s: Timeout of the whole call, until the answer has ended.
+            max_answer_bytes: Maximum size of the answer, with heads, framing and
+                trailers.
             max_idle_s: Longest idle time of a connection that is reused; 0 opens a
                 new one. The other end may close an idle connection while the
                 request is written; it is then unknown whether the request ran.
@@ -226,6 +269,7 @@
             TargetError: If the request fails; `sent` states whether any byte of it
                 was written.
         """
+        end_s = time.monotonic() + total_timeout_s
         connection = self.pop_idle_connection(max_idle_s) if max_idle_s > 0 else None
         if connection is None:
             connection = await self.connect(
@@ -234,16 +278,30 @@
         try:
             if before_write is not None:
                 before_write()
+            connection.start_answer(max_answer_bytes)
             self.write_request(connection, method, path, headers, body, host)
-            head = await connection.receive_event(first_byte_timeout_s)
-            while isinstance(head, h11.InformationalResponse):
-                head = await connection.receive_event(first_byte_timeout_s)
-            if not isinstance(head, h11.Response):
-                raise TargetError("connection closed without an answer", has_died=True)
+            head_deadline_s = min(end_s, time.monotonic() + first_byte_timeout_s)
+            head = await self.receive_head(connection, head_deadline_s)
         except BaseException:
             connection.close()
             raise
-        return HttpAnswer(self, connection, head, gap_timeout_s)
+        return HttpAnswer(self, connection, head, gap_timeout_s, end_s)
+
+    async def receive_head(
+        self, connection: HttpConnection, deadline_s: float
+    ) -> h11.Response:
+        """Return the head of the answer, after informational ones.
+
+        Raises:
+            TargetError: If none arrived by the deadline.
+        """
+        for _ in range(MAX_INFORMATIONAL_ANSWERS + 1):
+            head = await connection.receive_event(deadline_s)
+            if isinstance(head, h11.Response):
+                return head
+            if not isinstance(head, h11.InformationalResponse):
+                raise TargetError("connection closed without an answer", has_died=True)
+        raise MalformedAnswerError("too many informational answers")
 
     def write_request(
         self,
--- a/src/laburnumpitch/transport/http_connection.py
+++ b/src/laburnumpitch/transport/http_connection.py
@@ -18,6 +18,19 @@
 """Bytes received but not yet read above which receiving is paused."""
 
 
+SLICE_BYTES = 16 * 1024
+"""Bytes that are parsed before the answer's bounds are checked again."""
+
+MAX_BUSY_EVENTS = 64
+"""Events that are read without giving other tasks a turn."""
+
+MAX_FRAMING_BYTES = 64 * 1024
+"""Heads, chunk heads and trailers of an answer, besides `FRAMING_RATIO`."""
+
+FRAMING_RATIO = 2
+"""Further framing for each byte of the body."""
+
+
 class HttpConnection(asyncio.Protocol):
     """A connection to a server, with its h11 state and unread data.
 
@@ -41,6 +54,15 @@
         """Whether h11 was given the end of the received data."""
         self.waiter: asyncio.Future[None] | None = None
         self.idle_since_s = 0.0
+        self.answer_bytes = 0
+        """Bytes received of the current answer, with heads, framing and trailers."""
+        self.body_bytes = 0
+        """Bytes of the current answer's body."""
+        self.max_answer_bytes = 0
+        self.busy_events = 0
+        """Events read since this connection last waited."""
+        self.overrun_deadline_s: float | None = None
+        """Deadline after which received data was read once more."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set the socket's options."""
@@ -95,15 +117,21 @@
             self.transport.write(data)
 
     def pop_unread_data(self) -> bytes:
-        """Return and clear the unread data; resume receiving if it was paused.
+        """Return and remove the first slice of the unread data.
 
-        Called at the end of the received data, it returns an empty string.
+        Receiving is resumed if it was paused. Called at the end of the received data,
+        it returns an empty string.
         """
-        data = b"".join(self.unread_chunks)
-        self.unread_chunks.clear()
-        if self.unread_bytes > MAX_UNREAD_BYTES:
+        if not self.unread_chunks:
+            return b""
+        was_paused = self.unread_bytes > MAX_UNREAD_BYTES
+        data = self.unread_chunks.pop(0)
+        if len(data) > SLICE_BYTES:
+            self.unread_chunks.insert(0, data[SLICE_BYTES:])
+            data = data[:SLICE_BYTES]
+        self.unread_bytes -= len(data)
+        if was_paused and self.unread_bytes <= MAX_UNREAD_BYTES:
             self.transport.resume_reading()
-        self.unread_bytes = 0
         return data
 
     async def wait_for_data(self, timeout_s: float) -> None:
@@ -129,13 +157,26 @@
         task = asyncio.current_task()
         return task is not None and task.cancelling() > 0
 
-    async def receive_event(self, timeout_s: float) -> h11.Event:
+    def start_answer(self, max_bytes: int) -> None:
+        """Start to count the bytes of the next answer, which may have `max_bytes`."""
+        self.answer_bytes = 0
+        self.body_bytes = 0
+        self.max_answer_bytes = max_bytes
+        self.overrun_deadline_s = None
+
+    async def receive_event(self, deadline_s: float) -> h11.Event:
         """Return the next event of the answer.
 
+        Data that has arrived by the deadline still counts, as the process may have been
+        suspended meanwhile.
+
+        Args:
+            deadline_s: Monotonic time by which the event must be complete.
+
         Raises:
-            TargetTimeoutError: If no data arrived in time.
+            TargetTimeoutError: If the event was not complete in time.
             TargetError: If the connection broke.
-            MalformedAnswerError: If the answer is not valid HTTP.
+            MalformedAnswerError: If the answer is not valid HTTP or is too large.
         """
         while True:
             try:
@@ -145,11 +186,50 @@
                     raise TargetError("answer truncated", has_died=True) from error
                 raise MalformedAnswerError(f"invalid HTTP: {error}") from error
             if event is not h11.NEED_DATA:
+                if isinstance(event, h11.Data):
+                    self.body_bytes += len(event.data)
+                await self.give_turn()
                 return event
+            self.check_size()
             if not self.unread_chunks and not self.is_input_closed:
-                await self.wait_for_data(timeout_s)
+                await self.wait_for_data(self.get_wait_s(deadline_s))
+                self.busy_events = 0
             if not self.unread_chunks and self.error is not None:
                 raise TargetError(f"connection lost: {self.error}", has_died=True)
             data = self.pop_unread_data()
+            self.answer_bytes += len(data)
             self.has_processed_eof = not data
             self.h11_connection.receive_data(data)
+
+    async def give_turn(self) -> None:
+        """Let other tasks run after `MAX_BUSY_EVENTS` events without waiting."""
+        self.busy_events += 1
+        if self.busy_events >= MAX_BUSY_EVENTS:
+            self.busy_events = 0
+            await asyncio.sleep(0)
+
+    def check_size(self) -> None:
+        """Check the bounds of the answer's bytes so far.
+
+        Raises:
+            MalformedAnswerError: If the answer, or its framing, is too large.
+        """
+        if self.answer_bytes > self.max_answer_bytes:
+            raise MalformedAnswerError("the answer exceeds its maximum size")
+        framing_bytes = self.answer_bytes - self.body_bytes
+        if framing_bytes > MAX_FRAMING_BYTES + FRAMING_RATIO * self.body_bytes:
+            raise MalformedAnswerError("the answer has too much framing")
+
+    def get_wait_s(self, deadline_s: float) -> float:
+        """Return the time to wait for data: 0 once after the deadline.
+
+        Raises:
+            TargetTimeoutError: If data was read after the deadline before.
+        """
+        wait_s = deadline_s - self.loop.time()
+        if wait_s > 0:
+            return wait_s
+        if self.overrun_deadline_s == deadline_s:
+            raise TargetTimeoutError("the answer did not end in time")
+        self.overrun_deadline_s = deadline_s
+        return 0.0
--- a/tests/relay/relay_case.py
+++ b/tests/relay/relay_case.py
@@ -5,8 +5,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Awaitable, Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from types import SimpleNamespace
 
 import testtools
@@ -36,13 +35,27 @@
 from laburnumpitch.transport.http_client import HttpClient
 from laburnumpitch.transport.http_server import HttpRequest, HttpServer
 
+from ..transport.endless_answers import EndlessAnswer, iterate_parts
+
 SERVICE = "shop"
 API_KEY = "secret"
 HOST = "127.0.0.1"
 REQUEST_ID = "a1"
 TIMEOUT_S = 10.0
 
-Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+TARGET_HEADERS = f"Attempt-Id: {REQUEST_ID}\r\nServer-Seal: s1\r\n".encode()
+
+
+@dataclass(frozen=True)
+class PacedAnswer:
+    """An answer whose parts follow each other after a pause."""
+
+    parts: tuple[bytes, ...]
+    pause_s: float
+
+
+Script = bytes | EndlessAnswer | PacedAnswer | None
+"""Bytes of an answer, an answer without end or with pauses, or None for no answer."""
 
 
 def make_route(name: str, kind: str, **changes) -> Route:
@@ -98,10 +111,10 @@
     """A target that sends the next scripted answer to each request.
 
     Args:
-        scripts: The bytes of each answer, in sequence; None for no answer.
+        scripts: Each answer, in sequence.
     """
 
-    def __init__(self, scripts: list[bytes | None]) -> None:
+    def __init__(self, scripts: list[Script]) -> None:
         self.scripts = scripts
         self.requests: list[bytes] = []
         self.closed = asyncio.Event()
@@ -126,6 +139,15 @@
                 if script is None:
                     await reader.read()
                     return
+                if isinstance(script, EndlessAnswer):
+                    async for part in iterate_parts(script, TARGET_HEADERS):
+                        writer.write(part)
+                        await writer.drain()
+                if isinstance(script, PacedAnswer):
+                    for part in script.parts:
+                        writer.write(part)
+                        await asyncio.sleep(script.pause_s)
+                    continue
                 writer.write(script)
                 if not is_framed(script):
                     return
@@ -166,7 +188,7 @@
 class RelayCase(testtools.TestCase):
     """Starts a relay in front of scripted targets."""
 
-    def run_relay(self, scripts: list[list[bytes | None]], scenario) -> None:
+    def run_relay(self, scripts: list[list[Script]], scenario) -> None:
         """Run a scenario with a client against a relay and its targets."""
 
         async def run() -> None:
@@ -178,7 +200,7 @@
 
         asyncio.run(run())
 
-    async def start(self, scripts: list[list[bytes | None]]) -> None:
+    async def start(self, scripts: list[list[Script]]) -> None:
         """Start targets and a relay."""
         self.targets = [ScriptedTarget(list(part)) for part in scripts]
         table = TargetTable(1.0)
