Answer requests that reach a draining node on a kept connection

A request that the client had sent meanwhile was cut without an answer.

Change: connections stay open until the client closes them or the grace ends; the next answer on each carries Connection: close.

--- a/src/laburnumpitch/transport/http_server.py
+++ b/src/laburnumpitch/transport/http_server.py
@@ -165,7 +165,6 @@
         self.active_requests = 0
         """Number of requests in progress."""
         self.connection_tasks: set[asyncio.Task[None]] = set()
-        self.idle_writers: set[asyncio.StreamWriter] = set()
         self.log = get_logger()
         self.server: asyncio.Server | None = None
 
@@ -177,12 +176,13 @@
         self.port = self.server.sockets[0].getsockname()[1]
 
     def stop_accepting(self) -> None:
-        """Accept no new connections; close idle ones, and others after their answer."""
+        """Accept no new connections; close the others after their next answer.
+
+        Idle connections stay open, as a request may already be on its way.
+        """
         self.is_draining = True
         if self.server is not None:
             self.server.close()
-        for writer in list(self.idle_writers):
-            writer.close()
 
     async def close(self) -> None:
         """Stop accepting and close every connection."""
@@ -248,9 +248,6 @@
                 return
             if connection.their_state is not h11.DONE:
                 return
-            if self.is_draining:
-                # An answer begun before the stop carries no `connection: close`.
-                return
             connection.start_next_cycle()
 
     async def reject(self, responder: Responder, status: int, code: str) -> None:
@@ -271,7 +268,7 @@
         Raises:
             TooLargeError: If the body exceeds its limit.
         """
-        head = await self.read_head(connection, reader, writer)
+        head = await self.read_head(connection, reader)
         if head is None:
             return None
         received_at_s = time.monotonic()
@@ -289,10 +286,7 @@
         return HttpRequest(method, path, query, headers, body, received_at_s)
 
     async def read_head(
-        self,
-        connection: h11.Connection,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
+        self, connection: h11.Connection, reader: asyncio.StreamReader
     ) -> h11.Request | None:
         """Read up to the end of the headers.
 
@@ -307,7 +301,8 @@
             if event is not h11.NEED_DATA:
                 return None
             if deadline_s is None and not connection.trailing_data[0]:
-                data = await self.read_first_bytes(reader, writer)
+                async with asyncio.timeout(self.limits.idle_timeout_s):
+                    data = await reader.read(CHUNK_BYTES)
             else:
                 now_s = time.monotonic()
                 deadline_s = deadline_s or now_s + self.limits.header_timeout_s
@@ -316,21 +311,6 @@
             deadline_s = deadline_s or (time.monotonic() + self.limits.header_timeout_s)
             connection.receive_data(data)
 
-    async def read_first_bytes(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> bytes:
-        """Wait for the first bytes of a request.
-
-        Raises:
-            TimeoutError: If none arrive in time.
-        """
-        self.idle_writers.add(writer)
-        try:
-            async with asyncio.timeout(self.limits.idle_timeout_s):
-                return await reader.read(CHUNK_BYTES)
-        finally:
-            self.idle_writers.discard(writer)
-
     async def read_body(
         self,
         connection: h11.Connection,
