Keep sessions' context when its owner is lost, and send nothing to silent targets

Changes: sessions are spread over all stores by capacity (weighted rendezvous hashing); assignments go to the host with the fewest, the leader's last; an owner frees parts only within 1 s of its last call to the leader, so that its work moves after 1.4 s instead of 2.5 s; contact counts from the call; a possibly unreachable target gets requests only as a probe while others are full; a request that was not sent cancels its saves; the rate is the slope of a regression; the link's backlog that a read waits for follows from the time to compute the context again. Log lines: store_grants, coordinator_load.

Ruled out as first cause: the engines' memory (placements held it full, because prompts were read again); space in the stores (59,000 tokens refused).

--- a/src/laburnumpitch/fleet/fleet_publisher.py
+++ b/src/laburnumpitch/fleet/fleet_publisher.py
@@ -55,9 +55,9 @@
 """Time after an election before the leader makes assignments, so that nodes can
 subscribe first."""
 
-ASSIGNEE_TIMEOUT_S = 2.5
-"""Time since a node's last contact after which its assignments move to other nodes;
-it has stopped acting on them by then."""
+ASSIGNEE_TIMEOUT_S = 1.4
+"""Time since a node's last contact after which its assignments move to other nodes; by
+then it frees no parts of stores any more (`FREE_CONTACT_S`, `FREE_VALIDITY_MS`)."""
 
 MAX_TARGET_DEATHS = 3
 """Number of targets that died while they ran the same request, from which on the
@@ -321,7 +321,10 @@
             and subscriber.node.has_disk
         ]
         assignments = assign_hosts(
-            self.list_assignment_names(), live_hosts, self.assignments
+            self.list_assignment_names(),
+            live_hosts,
+            self.assignments,
+            self.replica.get_leader_name(),
         )
         if assignments != self.assignments:
             self.assignments = assignments
--- a/src/laburnumpitch/fleet/fleet_view.py
+++ b/src/laburnumpitch/fleet/fleet_view.py
@@ -98,7 +98,11 @@
     @property
     def has_leader_contact(self) -> bool:
         """Whether a leader has answered within `LEADER_TIMEOUT_S`."""
-        return self.get_time_s() - self.last_contact_s < LEADER_TIMEOUT_S
+        return self.get_contact_age_s() < LEADER_TIMEOUT_S
+
+    def get_contact_age_s(self) -> float:
+        """Return the time since a leader has answered."""
+        return self.get_time_s() - self.last_contact_s
 
     async def start(self) -> None:
         """Start the subscription."""
@@ -111,11 +115,12 @@
     async def run(self) -> None:
         """Call the leader for changes, one call after another, until cancelled."""
         while True:
+            called_s = self.get_time_s()
             try:
                 answer = await self.leader_client.call(
                     self.make_follow_call(), SUBSCRIBE_TIMEOUT_S
                 )
-                self.apply_answer(answer)
+                self.apply_answer(answer, called_s)
             except LaburnumpitchError as error:
                 self.handle_failure(error)
                 await asyncio.sleep(RETRY_PAUSE_S * random.uniform(0.5, 1.5))
@@ -138,7 +143,7 @@
                 hint=self.leader_client.leader_name,
             )
 
-    def apply_answer(self, answer: FollowAnswer) -> None:
+    def apply_answer(self, answer: FollowAnswer, called_s: float) -> None:
         """Apply a leader's answer, unless it comes from an earlier term."""
         if answer.term < self.term:
             return
@@ -150,7 +155,9 @@
                 "leader_found", leader=self.leader_client.leader_name, term=answer.term
             )
         self.is_leader_lost = False
-        self.last_contact_s = now_s
+        # The leader has heard from this node at this time or later. A node that was
+        # suspended may read the answer much later than it was sent.
+        self.last_contact_s = called_s
         is_unchanged = (self.term, self.sequence) == (answer.term, answer.sequence)
         self.term, self.sequence = answer.term, answer.sequence
         self.other_loads = answer.loads
--- a/src/laburnumpitch/fleet/messages.py
+++ b/src/laburnumpitch/fleet/messages.py
@@ -247,6 +247,16 @@
     """Time of the targets' clock after which a target discards a read."""
 
 
+@message
+class CancelSaves:
+    """Tells a store's owner that a request was not sent, and saves no piece."""
+
+    address: str
+    salt: str
+    pieces: list[str]
+    """Pieces that the request might have saved."""
+
+
 @message
 class PlaceCall:
     """Asks a service's coordinator for a placement of a request."""
--- a/src/laburnumpitch/fleet/store_allocations.py
+++ b/src/laburnumpitch/fleet/store_allocations.py
@@ -8,9 +8,12 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass
+from enum import StrEnum
+
+from ..policy.target_selection import PREFILL_TOKENS_PER_S
 
 READ_LEASE_S = 1.5
 """Time within which a granted read must finish."""
@@ -28,9 +31,16 @@
 """Share of a store's capacity down to which parts are evicted, so that writes find
 space; below `MAX_FILL_RATIO`."""
 
-MAX_BACKLOG_S = 0.06
-"""Transfer time queued at the store's link above which computing the context again is
-faster than waiting for it."""
+MIN_MAX_BACKLOG_S = 0.06
+"""Transfer time queued at the store's link up to which each request may wait."""
+
+BACKLOG_PER_PREFILL = 2.0
+"""Transfer time queued at the link for which a request waits, relative to the time to
+compute its shared context again, which would also delay the engine's other requests."""
+
+SAVE_BACKLOG_S = 0.25
+"""Transfer time queued at the link up to which parts are saved; no request waits for
+that."""
 
 HOT_READ_S = 0.5
 """Time after a part's last granted read within which engines still have the part in
@@ -59,12 +69,35 @@
     """Expiry of the last read lease."""
 
 
+class GrantReason(StrEnum):
+    """Why a request may or may not read or save a part."""
+
+    READ = "read"
+    HOT_READ = "hot_read"
+    """Read lately, so that engines still have it."""
+    SAVE = "save"
+    LINK_BUSY = "link_busy"
+    BEING_WRITTEN = "being_written"
+    NO_SPACE = "no_space"
+    OTHER_SIZE = "other_size"
+    """The store has the part with another number of tokens."""
+
+
 @dataclass(frozen=True)
 class PartGrant:
     """Whether a request may read or save one part."""
 
-    may_read: bool
-    may_save: bool
+    reason: GrantReason
+
+    @property
+    def may_read(self) -> bool:
+        """Whether the request may read the part."""
+        return self.reason in (GrantReason.READ, GrantReason.HOT_READ)
+
+    @property
+    def may_save(self) -> bool:
+        """Whether the request may save the part."""
+        return self.reason is GrantReason.SAVE
 
 
 def round_up_to_blocks(tokens: int) -> int:
@@ -87,6 +120,8 @@
         self.capacity_tokens = capacity_tokens
         self.link_bytes_per_s = link_bytes_per_s
         self.token_bytes = token_bytes
+        self.granted_tokens: Counter[GrantReason] = Counter()
+        """Tokens of the parts that requests asked for, by outcome."""
         self.clear()
 
     def clear(self) -> None:
@@ -123,13 +158,18 @@
             transfer_factor: Factor by which transfers to the request's target take
                 longer than the link's bandwidth gives.
         """
-        is_link_busy = self.link_busy_until_s > now_s + MAX_BACKLOG_S
-        return [
-            self.grant_part(
+        pieces = list(pieces)
+        prefill_s = sum(tokens for _, tokens in pieces) / PREFILL_TOKENS_PER_S
+        max_backlog_s = max(MIN_MAX_BACKLOG_S, prefill_s * BACKLOG_PER_PREFILL)
+        is_link_busy = self.link_busy_until_s > now_s + max_backlog_s
+        grants = []
+        for piece_id, tokens in pieces:
+            reason = self.grant_part(
                 (salt, piece_id), tokens, now_s, transfer_factor, is_link_busy
             )
-            for piece_id, tokens in pieces
-        ]
+            self.granted_tokens[reason] += tokens
+            grants.append(PartGrant(reason))
+        return grants
 
     def grant_part(
         self,
@@ -138,29 +178,37 @@
         now_s: float,
         transfer_factor: float,
         is_link_busy: bool,
-    ) -> PartGrant:
+    ) -> GrantReason:
         """Grant a read of a complete part, or a write of one that the store lacks."""
         part = self.parts.get(name)
         if part is not None and part.is_complete:
             self.parts.move_to_end(name)
-            if is_link_busy or part.tokens != tokens:
-                return PartGrant(False, False)
+            if part.tokens != tokens:
+                return GrantReason.OTHER_SIZE
+            if is_link_busy:
+                return GrantReason.LINK_BUSY
             is_hot = part.read_expires_s > now_s + READ_LEASE_S - HOT_READ_S
             part.read_expires_s = max(part.read_expires_s, now_s + READ_LEASE_S)
-            if not is_hot:
-                self.add_transfer(tokens, now_s, transfer_factor)
-            return PartGrant(True, False)
-        is_being_written = part is not None and part.write_expires_s > now_s
+            if is_hot:
+                return GrantReason.HOT_READ
+            self.add_transfer(tokens, now_s, transfer_factor)
+            return GrantReason.READ
+        if part is not None and part.write_expires_s > now_s:
+            return GrantReason.BEING_WRITTEN
+        if self.link_busy_until_s > now_s + SAVE_BACKLOG_S:
+            return GrantReason.LINK_BUSY
         max_tokens = self.capacity_tokens * MAX_FILL_RATIO
-        if (
-            is_being_written
-            or is_link_busy
-            or self.used_tokens + round_up_to_blocks(tokens) > max_tokens
-        ):
-            return PartGrant(False, False)
+        if self.used_tokens + round_up_to_blocks(tokens) > max_tokens:
+            return GrantReason.NO_SPACE
         self.put(name, PartAllocation(tokens, False, now_s + WRITE_LEASE_S))
         self.add_transfer(tokens, now_s, transfer_factor)
-        return PartGrant(False, True)
+        return GrantReason.SAVE
+
+    def cancel_write(self, name: PartName) -> None:
+        """Drop the grant of a write that did not begin."""
+        part = self.parts.get(name)
+        if part is not None and not part.is_complete:
+            self.remove(name)
 
     def add_transfer(self, tokens: int, now_s: float, transfer_factor: float) -> None:
         """Add a transfer to the link's expected busy time."""
--- a/src/laburnumpitch/fleet/store_owner.py
+++ b/src/laburnumpitch/fleet/store_owner.py
@@ -8,6 +8,7 @@
 from ..errors import NotStoreOwnerError, TargetError
 from ..logging import get_logger
 from ..relay.configuration import StoreSpec
+from .fleet_view import LEADER_TIMEOUT_S
 from .messages import ContextGrant, GrantContext
 from .store_allocations import READ_LEASE_S, WRITE_LEASE_S, StoreAllocationTable
 from .store_client import StoreClient, StoreEvents
@@ -19,13 +20,19 @@
 """Time for which a new owner frees nothing; reads that its predecessor granted, and
 the predecessor's calls, have ended by then."""
 
-FREE_VALIDITY_MS = 1000
+FREE_CONTACT_S = 1.0
+"""Time since the last contact with the leader in which an owner frees parts."""
+
+FREE_VALIDITY_MS = 400
 """Time for which the store accepts a call to free parts; it refuses a later one."""
 
 MIN_LISTING_INTERVAL_S = 10.0
 """Minimum interval of the listings that are made because a write lease has expired
 without a report; a listing stalls the store."""
 
+GRANT_LOG_INTERVAL_S = 5.0
+"""Interval of the log lines with the outcomes of grants."""
+
 REMOTE_TRANSFER_FACTOR = 2.0
 """Factor by which a transfer between data centres takes longer than within one."""
 
@@ -37,7 +44,8 @@
         store: Address, capacity and link of the store.
         token_bytes: Bytes of kept context for each token.
         store_client: Calls stores.
-        is_current_owner: Returns whether the store is still assigned to this node.
+        is_current_owner: Returns whether the store is still assigned to this node, by
+            a leader that was in contact within a given time in seconds.
         get_time_s: Monotonic time.
     """
 
@@ -46,7 +54,7 @@
         store: StoreSpec,
         token_bytes: int,
         store_client: StoreClient,
-        is_current_owner: Callable[[], bool],
+        is_current_owner: Callable[[float], bool],
         get_time_s: Callable[[], float],
     ) -> None:
         self.store = store
@@ -59,6 +67,7 @@
         self.started_s = get_time_s()
         """Time of this owner's start, or of the store's restart if that was later."""
         self.last_listing_s = 0.0
+        self.last_grant_log_s = 0.0
         self.epoch: int | None = None
         """Epoch of the store; it changes at each restart of the store."""
         self.next_event = 0
@@ -76,6 +85,7 @@
                     await self.synchronize()
                 await self.poll_events()
                 await self.free_excess()
+                self.log_grants()
             except TargetError as error:
                 if self.is_synchronized:
                     self.log.warning(
@@ -106,7 +116,12 @@
             used_tokens=self.allocations.used_tokens,
             broken=len(unfinished),
         )
-        if unfinished and now_s - self.started_s > TAKEOVER_DELAY_S + WRITE_LEASE_S:
+        takeover_age_s = now_s - self.started_s
+        if (
+            unfinished
+            and takeover_age_s > TAKEOVER_DELAY_S + WRITE_LEASE_S
+            and self.is_current_owner(FREE_CONTACT_S)
+        ):
             await self.free(unfinished)
 
     async def poll_events(self) -> None:
@@ -137,12 +152,27 @@
     async def free_excess(self) -> None:
         """Free the least recently used parts if the store is too full."""
         now_s = self.get_time_s()
-        if not self.is_current_owner() or now_s - self.started_s < TAKEOVER_DELAY_S:
+        is_current_owner = self.is_current_owner(FREE_CONTACT_S)
+        if not is_current_owner or now_s - self.started_s < TAKEOVER_DELAY_S:
             return
         names = self.allocations.evict(now_s)
         if names:
             await self.free(names)
 
+    def log_grants(self) -> None:
+        """Log the tokens asked for by outcome, at intervals."""
+        now_s = self.get_time_s()
+        if now_s - self.last_grant_log_s < GRANT_LOG_INTERVAL_S:
+            return
+        self.last_grant_log_s = now_s
+        self.log.info(
+            "store_grants",
+            address=self.store.address,
+            used_tokens=self.allocations.used_tokens,
+            capacity_tokens=self.store.capacity_tokens,
+            **{f"{r}_tokens": n for r, n in self.allocations.granted_tokens.items()},
+        )
+
     async def free(self, names: list[tuple[str, str]]) -> None:
         """Free parts that the allocation table no longer has."""
         until_ms = None
@@ -170,7 +200,7 @@
         if (
             not self.is_synchronized
             or self.clock_offset_ms is None
-            or not self.is_current_owner()
+            or not self.is_current_owner(LEADER_TIMEOUT_S)
         ):
             raise NotStoreOwnerError(self.store.address)
         is_remote = call.data_centre != self.store.data_centre
--- a/src/laburnumpitch/fleet/store_owners.py
+++ b/src/laburnumpitch/fleet/store_owners.py
@@ -10,7 +10,7 @@
 from ..logging import get_logger
 from ..relay.configuration import RoutingConfiguration, StoreSpec
 from .fleet_view import FleetView
-from .messages import ContextGrant, GrantContext
+from .messages import CancelSaves, ContextGrant, GrantContext
 from .store_client import StoreClient
 from .store_owner import StoreOwner
 
@@ -76,7 +76,7 @@
             store,
             token_bytes,
             self.store_client,
-            lambda: self.is_current_owner(store.address),
+            lambda contact_s: self.is_current_owner(store.address, contact_s),
             self.get_time_s,
         )
         task = asyncio.create_task(store_owner.run())
@@ -85,11 +85,11 @@
             "keeper_started", address=store.address, term=self.fleet_view.term
         )
 
-    def is_current_owner(self, address: str) -> bool:
-        """Whether a store is assigned to this node and the leader is in contact."""
+    def is_current_owner(self, address: str, contact_s: float) -> bool:
+        """Whether a store is assigned to this node by a leader in contact lately."""
         fleet_view = self.fleet_view
         is_assigned = fleet_view.assignments.get(address) == fleet_view.node.host
-        return is_assigned and fleet_view.has_leader_contact
+        return is_assigned and fleet_view.get_contact_age_s() < contact_s
 
     async def on_grant(self, call: GrantContext) -> ContextGrant:
         """Grant a request the parts that it may read and save.
@@ -101,3 +101,14 @@
         if owner_and_task is None:
             raise NotStoreOwnerError(call.address)
         return owner_and_task[0].grant(call)
+
+    async def on_cancel_saves(self, notice: CancelSaves) -> None:
+        """Let other requests save the pieces that a request does not save."""
+        self.cancel_saves(notice)
+
+    def cancel_saves(self, notice: CancelSaves) -> None:
+        """Drop grants of saves, if this node manages the store."""
+        owner_and_task = self.running_owners.get(notice.address)
+        if owner_and_task is not None:
+            for piece in notice.pieces:
+                owner_and_task[0].allocations.cancel_write((notice.salt, piece))
--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -18,6 +18,7 @@
 from .fleet.leader_client import LeaderClient
 from .fleet.leader_service import LeaderService
 from .fleet.messages import (
+    CancelSaves,
     GrantContext,
     Hello,
     NodeRecord,
@@ -151,9 +152,11 @@
         configuration = self.fleet_view.configuration
         if configuration is None:
             return []
-        store_names = [
-            store_spec.address for store_spec in list_managed_stores(configuration)
-        ]
+        stores = sorted(
+            list_managed_stores(configuration),
+            key=lambda store: (-store.capacity_tokens, store.address),
+        )
+        store_names = [store.address for store in stores]
         service_names = [
             service.name for service in configuration.services if service.store is None
         ]
@@ -250,6 +253,7 @@
         self.fleet_view.on_change.append(self.apply_client_limits)
         self.rpc_server.on(Hello, self.bootstrap.on_hello)
         self.rpc_server.on(GrantContext, self.store_owners.on_grant)
+        self.rpc_server.on(CancelSaves, self.store_owners.on_cancel_saves)
         self.rpc_server.on(PlaceCall, self.coordinator.on_place_call)
         self.rpc_server.on(PlaceProgress, self.coordinator.on_place_progress)
         self.leader_service.register(self.rpc_server)
--- a/src/laburnumpitch/policy/placement_ledger.py
+++ b/src/laburnumpitch/policy/placement_ledger.py
@@ -11,20 +11,12 @@
 import itertools
 from dataclasses import dataclass, field
 
+from .prefill_rate import PrefillRate
+
 PLACEMENT_TTL_S = 15.0
 """Time after which a placement that was not released expires. Its node has died,
 since requests are aborted before they take that long."""
 
-INITIAL_PREFILL_TOKENS_PER_S = 120_000.0
-"""Assumed prefill rate of an engine before the first measurement."""
-
-RATE_AVERAGING_S = 2.0
-"""Busy time over which the measured prefill rate of a service is averaged."""
-
-MIN_PREFILL_TOKENS_PER_S = 10_000.0
-"""Lower bound of the measured prefill rate. The rate is shared by all engines of a
-service, so without a bound one stuck engine would stop placements on the others."""
-
 
 @dataclass
 class TargetUsage:
@@ -39,6 +31,8 @@
     """Start of the busy period, in which there is always a pending prefill."""
     prefilled_tokens: int = 0
     """Prompt tokens prefilled in the current busy period."""
+    is_measurable: bool = True
+    """Whether no prompt of the current busy period has ended without a prefill."""
 
 
 @dataclass
@@ -62,8 +56,8 @@
     usage_by_target: dict[str, TargetUsage] = field(default_factory=dict)
     entries: dict[int, PlacementEntry] = field(default_factory=dict)
     """Placements by number, oldest first."""
-    prefill_tokens_per_s: float = INITIAL_PREFILL_TOKENS_PER_S
-    """Average prefill rate of an engine; tokens of kept context count as prefilled."""
+    prefill_rate: PrefillRate = field(default_factory=PrefillRate)
+    """Prefill rate of the service's engines."""
     numbers: itertools.count = field(default_factory=lambda: itertools.count(1))
 
     def get_usage(self, target_id: str) -> TargetUsage:
@@ -76,6 +70,7 @@
         if not usage.pending_prefill_tokens:
             usage.busy_since_s = now_s
             usage.prefilled_tokens = 0
+            usage.is_measurable = True
         usage.running += 1
         usage.tokens += tokens
         usage.pending_prefill_tokens += tokens
@@ -91,17 +86,8 @@
         self.remove_pending_prefill(entry)
         usage = self.usage_by_target[entry.target_id]
         usage.prefilled_tokens += entry.tokens
-        if not usage.pending_prefill_tokens:
-            self.update_prefill_rate(usage, now_s)
-
-    def update_prefill_rate(self, usage: TargetUsage, now_s: float) -> None:
-        """Update the average rate with a completed busy period of a target."""
-        busy_s = now_s - usage.busy_since_s
-        if busy_s <= 0:
-            return
-        weight = busy_s / (busy_s + RATE_AVERAGING_S)
-        rate = max(MIN_PREFILL_TOKENS_PER_S, usage.prefilled_tokens / busy_s)
-        self.prefill_tokens_per_s += (rate - self.prefill_tokens_per_s) * weight
+        if not usage.pending_prefill_tokens and usage.is_measurable:
+            self.prefill_rate.record(usage.prefilled_tokens, now_s - usage.busy_since_s)
 
     def remove_pending_prefill(self, entry: PlacementEntry) -> None:
         """Subtract a placement's prompt from the pending prefills, but only once."""
@@ -114,8 +100,10 @@
         entry = self.entries.pop(number, None)
         if entry is None:
             return
-        self.remove_pending_prefill(entry)
         usage = self.usage_by_target[entry.target_id]
+        if not entry.is_prefilled:
+            usage.is_measurable = False
+        self.remove_pending_prefill(entry)
         usage.running -= 1
         usage.tokens -= entry.tokens
         if not usage.running:
@@ -134,6 +122,5 @@
 
     def get_backlog_s(self, target_id: str) -> float:
         """Return the time that a target needs for its pending prefills."""
-        return (
-            self.get_usage(target_id).pending_prefill_tokens / self.prefill_tokens_per_s
-        )
+        pending_tokens = self.get_usage(target_id).pending_prefill_tokens
+        return pending_tokens / self.prefill_rate.tokens_per_s
--- a/src/laburnumpitch/policy/target_selection.py
+++ b/src/laburnumpitch/policy/target_selection.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Sequence
+import math
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 PREFILL_TOKENS_PER_S = 120_000.0
@@ -40,6 +41,9 @@
 """Number of targets that each node compares in a larger fleet, including the target
 that the affinity key prefers."""
 
+DIGEST_BYTES = 8
+DIGEST_RANGE = 2 ** (8 * DIGEST_BYTES)
+
 REMOTE_COST_S = 0.001
 """Cost of a target in another data centre: one round trip."""
 
@@ -95,10 +99,23 @@
     return min(names, key=lambda name: get_rendezvous_digest(key, name), default="")
 
 
+def choose_by_weighted_hash(key: str, weights: Mapping[str, float]) -> str:
+    """Return the preferred name for a key; each gets keys in proportion to its weight.
+
+    A change of one weight moves only keys to or from that name.
+    """
+
+    def get_score(name: str) -> float:
+        digest = int.from_bytes(get_rendezvous_digest(key, name))
+        return -math.log((digest + 1) / DIGEST_RANGE) / weights[name]
+
+    return min(weights, key=get_score, default="")
+
+
 def get_rendezvous_digest(key: str, name: str) -> bytes:
     """Return the hash that ranks a name for a key; the lowest is preferred."""
     text = f"{key}\x00{name}".encode()
-    return hashlib.blake2b(text, digest_size=8).digest()
+    return hashlib.blake2b(text, digest_size=DIGEST_BYTES).digest()
 
 
 def estimate_cost_s(
@@ -138,9 +155,10 @@
     """
     if not candidates:
         return None
+    pairs = prefer_reachable(list(zip(candidates, tie_breaks, strict=True)))
     affinity_target_id = ""
     if affinity_key:
-        target_ids = [c.target_id for c in candidates if not c.is_in_backoff]
+        target_ids = [c.target_id for c, _ in pairs if not c.is_in_backoff]
         affinity_target_id = choose_by_rendezvous_hash(affinity_key, target_ids)
 
     def get_cost(pair: tuple[TargetCandidate, float]) -> tuple[float, float]:
@@ -150,12 +168,22 @@
             cost += candidate.transfer_s
         return (cost, tie_break)
 
-    pairs = list(zip(candidates, tie_breaks, strict=True))
     if node_count > MAX_NODES_COMPARING_ALL:
         pairs = sample_candidates(pairs, affinity_target_id)
     return min(pairs, key=get_cost)[0]
 
 
+def prefer_reachable(
+    pairs: list[tuple[TargetCandidate, float]],
+) -> list[tuple[TargetCandidate, float]]:
+    """Return the candidates without those that are possibly unreachable.
+
+    If all are, all are returned. A loaded target answers late, but a request that is
+    sent to an unreachable one has lost its time for nothing.
+    """
+    return [p for p in pairs if not p[0].is_possibly_unreachable] or pairs
+
+
 def sample_candidates(
     pairs: list[tuple[TargetCandidate, float]], affinity_target_id: str
 ) -> list[tuple[TargetCandidate, float]]:
--- a/src/laburnumpitch/relay/answer_checks.py
+++ b/src/laburnumpitch/relay/answer_checks.py
@@ -10,6 +10,12 @@
 from .request import AnswerMetadata
 from .target_statistics import TargetStatistics
 
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+"""Maximum size of an answer that is read completely before it is delivered."""
+
+MAX_STREAM_BYTES = 64 * 1024 * 1024
+"""Maximum size of a stream, of which a node holds one event at a time."""
+
 
 def check_answer(metadata: AnswerMetadata, request_id: str) -> None:
     """Check that an answer belongs to a request and has its own bytes.
--- a/src/laburnumpitch/relay/context_planner.py
+++ b/src/laburnumpitch/relay/context_planner.py
@@ -4,7 +4,7 @@
 
 from ..errors import LaburnumpitchError
 from ..fleet.fleet_view import FleetView
-from ..fleet.messages import ContextGrant, GrantContext, TargetRecord
+from ..fleet.messages import CancelSaves, ContextGrant, GrantContext, TargetRecord
 from ..fleet.store_owners import StoreOwners
 from ..logging import get_logger
 from ..metrics import Metrics
@@ -86,6 +86,24 @@
             grant.read_until_ms,
         )
 
+    def cancel_saves(self, admitted: AdmittedRequest, plan: ContextPlan | None) -> None:
+        """Tell a store's owner that a request was not sent to its target."""
+        if plan is None or not any(plan.destinations):
+            return
+        address = next(filter(None, plan.destinations))
+        host = self.fleet_view.assignments.get(address)
+        pieces = admitted.metadata.pieces
+        names = [
+            piece.piece_id
+            for piece, destination in zip(pieces, plan.destinations, strict=True)
+            if destination
+        ]
+        notice = CancelSaves(address, plan.salt, names)
+        if host == self.fleet_view.node.host:
+            self.store_owners.cancel_saves(notice)
+        elif host is not None:
+            self.pool.get(f"{host}:{self.rpc_port}").notify(notice)
+
     async def request_grant(self, call: GrantContext) -> ContextGrant | None:
         """Return the store owner's grant, or None if none arrives in time."""
         host = self.fleet_view.assignments.get(call.address)
--- a/src/laburnumpitch/relay/coordinator.py
+++ b/src/laburnumpitch/relay/coordinator.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from random import Random
 
@@ -13,6 +13,7 @@
 from ..fleet.messages import PlaceAnswer, PlaceCall, PlaceProgress, TargetRecord
 from ..logging import get_logger
 from ..policy.placement_ledger import PlacementLedger
+from ..policy.probe_schedule import ProbeSchedule
 from ..policy.target_selection import TargetCandidate, choose_target
 from .target_catalog import TargetCatalog
 
@@ -35,6 +36,9 @@
 """Prompt tokens that an engine may have, relative to its capacity: pieces that several
 requests share are held once by the engine, but counted for each request here."""
 
+LOAD_LOG_INTERVAL_S = 5.0
+"""Interval of the log lines with a service's load."""
+
 RETRY_DELAY_S = (0.01, 0.08)
 """Bounds of the delay after which a node retries a call that got no placement."""
 
@@ -72,11 +76,22 @@
         self.ledgers: dict[str, PlacementLedger] = {}
         self.backoff_until_s: dict[str, float] = {}
         """Until when targets in backoff at some node count as possibly unreachable."""
+        self.probe_schedule = ProbeSchedule()
+        self.logged_s: dict[str, float] = {}
+        """When the load was logged, by service."""
         self.log = get_logger()
-        catalog.fleet_view.on_change.append(self.drop_unassigned_ledgers)
+        catalog.fleet_view.on_change.append(self.drop_outdated)
+
+    def drop_outdated(self) -> None:
+        """Drop the ledgers of services that are assigned to another node now.
 
-    def drop_unassigned_ledgers(self) -> None:
-        """Drop the ledgers of services that are assigned to another node now."""
+        What is known of targets that are gone is dropped too.
+        """
+        records = self.catalog.fleet_view.targets.get_records()
+        target_ids = {record.target_id for record in records}
+        self.probe_schedule.retain(target_ids)
+        for target_id in set(self.backoff_until_s) - target_ids:
+            del self.backoff_until_s[target_id]
         for service in list(self.ledgers):
             if not self.is_assigned(service):
                 del self.ledgers[service]
@@ -129,31 +144,50 @@
         tie_breaks = [self.random.random() for _ in candidates]
         # The node count is 1: only the coordinator assigns these targets.
         chosen = choose_target(
-            candidates, call.key, tie_breaks, 1, ledger.prefill_tokens_per_s
+            candidates, call.key, tie_breaks, 1, ledger.prefill_rate.tokens_per_s
         )
         if chosen is None:
             return PlaceAnswer("", 0, self.choose_retry_delay_s(ledger, targets, call))
+        self.log_load(call.service, ledger, now_s)
         number = ledger.assign(chosen.target_id, call.prompt_tokens, now_s)
         return PlaceAnswer(chosen.target_id, number, 0.0)
 
+    def log_load(self, service: str, ledger: PlacementLedger, now_s: float) -> None:
+        """Log a service's load, at intervals."""
+        if now_s - self.logged_s.get(service, 0.0) < LOAD_LOG_INTERVAL_S:
+            return
+        self.logged_s[service] = now_s
+        usage = ledger.usage_by_target.values()
+        self.log.info(
+            "coordinator_load",
+            service=service,
+            placements=len(ledger.entries),
+            tokens=sum(u.tokens for u in usage),
+            pending_prefill_tokens=sum(u.pending_prefill_tokens for u in usage),
+            prefill_tokens_per_s=round(ledger.prefill_rate.tokens_per_s),
+            targets=len(self.catalog.get_targets(service)),
+        )
+
     def make_candidates(
         self, ledger: PlacementLedger, targets: list[TargetRecord], call: PlaceCall
-    ) -> list[TargetCandidate]:
+    ) -> Sequence[TargetCandidate]:
         """Return the targets that have capacity, as candidates for the policy."""
         now_s = self.get_time_s()
         store = self.catalog.find_session_store(call)
         candidates = []
+        are_others_full = False
         for target in targets:
-            if not self.has_capacity(ledger, target, call):
-                continue
             load = ledger.get_usage(target.target_id)
             candidate = self.catalog.make_candidate(
                 target, call, store, load.running, load.pending_prefill_tokens
             )
             if self.backoff_until_s.get(target.target_id, 0.0) > now_s:
                 candidate = replace(candidate, is_possibly_unreachable=True)
-            candidates.append(candidate)
-        return candidates
+            if self.has_capacity(ledger, target, call):
+                candidates.append(candidate)
+            else:
+                are_others_full |= not candidate.is_possibly_unreachable
+        return self.probe_schedule.select(candidates, are_others_full, now_s)
 
     def has_capacity(
         self, ledger: PlacementLedger, target: TargetRecord, call: PlaceCall
--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -15,7 +15,12 @@
 from ..fleet.messages import TargetRecord
 from ..transport.http_client import HttpAnswer
 from ..transport.http_server import Headers, Responder
-from .answer_checks import check_answer, raise_not_run
+from .answer_checks import (
+    MAX_ANSWER_BYTES,
+    MAX_STREAM_BYTES,
+    check_answer,
+    raise_not_run,
+)
 from .configuration import STREAMING
 from .request import AdmittedRequest, FallbackAnswer, TargetRequest
 from .services import RelayServices
@@ -37,12 +42,6 @@
 """Statuses that tell a client that its request has not run. A target's own answer with
 one of them is not passed on, unless the target confirms that it did not run."""
 
-MAX_ANSWER_BYTES = 8 * 1024 * 1024
-"""Maximum size of an answer that is read completely before it is delivered."""
-
-MAX_STREAM_BYTES = 64 * 1024 * 1024
-"""Maximum size of a stream, of which a node holds one event at a time."""
-
 MAX_READ_SHARE = 0.5
 """Share of the remaining time for an answer of unknown length, while another target can
 be tried."""
@@ -99,7 +98,9 @@
         """
         while True:
             try:
-                target = await self.acquire_target()
+                target = await self.services.dispatcher.acquire(
+                    self.admitted, frozenset(self.excluded), self.deadline_s
+                )
             except (NoTargetError, OverloadedError) as error:
                 if self.fallback is not None:
                     await self.deliver_fallback()
@@ -119,17 +120,6 @@
                 await self.deliver_fallback()
                 return
 
-    async def acquire_target(self) -> TargetRecord:
-        """Return a target that has capacity for the request.
-
-        Raises:
-            NoTargetError: If the service has no target left to try.
-            OverloadedError: If no target had capacity in time.
-        """
-        return await self.services.dispatcher.acquire(
-            self.admitted, frozenset(self.excluded), self.deadline_s
-        )
-
     async def send(self, target: TargetRecord) -> None:
         """Send the request to one target and deliver its answer.
 
@@ -139,6 +129,7 @@
         services = self.services
         self.sent_s = sent_s = services.get_time_s()
         self.is_prefill_pending = True
+        self.context = None
         answer = None
         try:
             answer = await self.request(target)
@@ -149,6 +140,10 @@
                 tokens = self.admitted.metadata.output_tokens
                 duration_s = ended_s - max(sent_s, self.first_event_s)
                 services.statistics.record_generation(target, tokens, duration_s)
+        except TargetError as error:
+            if not error.sent:
+                services.planner.cancel_saves(self.admitted, self.context)
+            raise
         finally:
             if answer is not None:
                 answer.close()
@@ -212,13 +207,13 @@
         admitted = self.admitted
         dispatcher = self.services.dispatcher
         version = None
-        context = None
         if self.route.has_context:
             stats = self.services.statistics.get(target.target_id)
             version = dispatcher.catalog.find_weight_version(
                 target, stats, admitted.metadata.model
             )
-            context = await self.services.planner.plan(admitted, target, version)
+            planner = self.services.planner
+            self.context = await planner.plan(admitted, target, version)
         organisation = admitted.organisation
         return TargetRequest(
             target=target,
@@ -227,7 +222,7 @@
             drops_api_key=self.services.has_organisations(),
             priority_class=admitted.priority_class,
             weight_version=version,
-            context=context,
+            context=self.context,
             resume_after=self.stream.last_event_id,
         )
 
--- a/tests/fleet/test_store_allocations.py
+++ b/tests/fleet/test_store_allocations.py
@@ -5,11 +5,10 @@
 import testtools
 
 from laburnumpitch.fleet.store_allocations import (
-    MAX_BACKLOG_S,
+    MIN_MAX_BACKLOG_S,
     READ_LEASE_MARGIN_S,
     READ_LEASE_S,
     WRITE_LEASE_S,
-    PartGrant,
     StoreAllocationTable,
 )
 
@@ -18,9 +17,10 @@
 """Identifier and tokens of a piece."""
 
 PART_NAME = (SALT, "a")
-READ_GRANT = PartGrant(True, False)
-SAVE_GRANT = PartGrant(False, True)
-NO_GRANT = PartGrant(False, False)
+READ_GRANT = (True, False)
+SAVE_GRANT = (False, True)
+NO_GRANT = (False, False)
+"""Whether a request may read a part, and whether it may save it."""
 
 
 class StoreAllocationTableTest(testtools.TestCase):
@@ -32,7 +32,8 @@
 
     def request(self, now_s: float, piece: tuple[str, int] = PIECE, salt: str = SALT):
         """Return the grant for one piece."""
-        return self.allocations.grant(salt, [piece], now_s, 1.0)[0]
+        grant = self.allocations.grant(salt, [piece], now_s, 1.0)[0]
+        return grant.may_read, grant.may_save
 
     def fill(self) -> None:
         """Store nine pieces, which is more than remain after an eviction."""
@@ -63,6 +64,15 @@
         self.assertTrue(self.allocations.has_expired_write(WRITE_LEASE_S + 0.1))
         self.assertEqual(SAVE_GRANT, self.request(WRITE_LEASE_S + 0.1))
 
+    def test_canceled_write_is_granted_again(self) -> None:
+        """A write that did not begin is granted to the next request at once."""
+        self.request(0.0)
+        self.allocations.cancel_write(PART_NAME)
+        self.assertEqual(SAVE_GRANT, self.request(0.1))
+        self.allocations.handle_added(PART_NAME, 1600)
+        self.allocations.cancel_write(PART_NAME)
+        self.assertEqual(READ_GRANT, self.request(0.2))
+
     def test_leased_part_is_not_evicted(self) -> None:
         """The oldest part is evicted first, but never during a read lease."""
         self.fill()
@@ -83,9 +93,9 @@
                 self.assertEqual(NO_GRANT, self.request(end_s + 0.1, (piece_id, 1600)))
 
     def test_busy_link_gets_no_reads(self) -> None:
-        """No read is granted when the link's backlog exceeds `MAX_BACKLOG_S`."""
+        """No read is granted when the link's backlog exceeds its bound."""
         self.allocations.handle_added(PART_NAME, 1600)
-        self.allocations.link_bytes_per_s = 1600 * 1000 / MAX_BACKLOG_S / 2
+        self.allocations.link_bytes_per_s = 1600 * 1000 / MIN_MAX_BACKLOG_S / 2
         for number in range(5):
             self.allocations.handle_added((SALT, f"p{number}"), 1600)
         grants = [self.request(0.0, (f"p{number}", 1600)) for number in range(5)]
@@ -98,7 +108,7 @@
         The engines still have it in their own memory.
         """
         self.allocations.handle_added(PART_NAME, 1600)
-        self.allocations.link_bytes_per_s = 1600 * 1000 / MAX_BACKLOG_S * 1.5
+        self.allocations.link_bytes_per_s = 1600 * 1000 / MIN_MAX_BACKLOG_S * 1.5
         self.assertEqual([READ_GRANT] * 9, [self.request(0.01 * n) for n in range(9)])
 
     def test_listing(self) -> None:
--- a/tests/policy/test_placement_ledger.py
+++ b/tests/policy/test_placement_ledger.py
@@ -9,11 +9,11 @@
 
 import testtools
 
-from laburnumpitch.policy.placement_ledger import (
+from laburnumpitch.policy.placement_ledger import PLACEMENT_TTL_S, PlacementLedger
+from laburnumpitch.policy.prefill_rate import (
     INITIAL_PREFILL_TOKENS_PER_S,
     MIN_PREFILL_TOKENS_PER_S,
-    PLACEMENT_TTL_S,
-    PlacementLedger,
+    PrefillRate,
 )
 from laburnumpitch.policy.target_selection import TargetCandidate, choose_target
 
@@ -63,7 +63,9 @@
             )
             ledger.record_prefill(number, second + 1.0)
             ledger.release(number)
-        self.assertLess(ledger.prefill_tokens_per_s, INITIAL_PREFILL_TOKENS_PER_S * 0.6)
+        self.assertLess(
+            ledger.prefill_rate.tokens_per_s, INITIAL_PREFILL_TOKENS_PER_S * 0.6
+        )
 
     def test_prefill_rate_has_a_lower_bound(self) -> None:
         """One stuck engine does not reduce the rate of a service without bound."""
@@ -72,7 +74,9 @@
             placement = ledger.assign("a", 10, number * 100.0)
             ledger.record_prefill(placement, number * 100.0 + 90.0)
             ledger.release(placement)
-        self.assertGreaterEqual(ledger.prefill_tokens_per_s, MIN_PREFILL_TOKENS_PER_S)
+        self.assertGreaterEqual(
+            ledger.prefill_rate.tokens_per_s, MIN_PREFILL_TOKENS_PER_S
+        )
 
 
 ENGINES = 45
@@ -116,7 +120,7 @@
     free_s = [0.0] * ENGINES
     pending_tokens = [0] * ENGINES
     own = [[0] * ENGINES for _ in range(NODES)]
-    ledger = PlacementLedger(prefill_tokens_per_s=PREFILL_TOKENS_PER_S)
+    ledger = PlacementLedger(prefill_rate=PrefillRate(PREFILL_TOKENS_PER_S))
     counter = itertools.count()
     history: list[tuple[float, list[int]]] = [(-1.0, [0] * ENGINES)]
     events: list[tuple[float, int, int, int, int, int]] = []
--- a/tests/policy/test_target_selection.py
+++ b/tests/policy/test_target_selection.py
@@ -137,3 +137,14 @@
             rank_by_rendezvous_hash("session", names),
             rank_by_rendezvous_hash("session", names[::-1]),
         )
+
+
+class ReachabilityTest(testtools.TestCase):
+    """Targets that are possibly unreachable, beside loaded ones."""
+
+    def test_loaded_target_goes_first(self) -> None:
+        """A loaded target is chosen before one that may not answer at all."""
+        loaded = replace(FREE_A, running=40, slots=12, service_s=3.0)
+        silent = replace(FREE_B, is_possibly_unreachable=True)
+        self.assertEqual("a", choose([loaded, silent]))
+        self.assertEqual("b", choose([silent]))
--- a/tests/relay/relay_case.py
+++ b/tests/relay/relay_case.py
@@ -99,6 +99,9 @@
         """Return an empty plan."""
         return ContextPlan("none")
 
+    def cancel_saves(self, admitted, plan) -> None:
+        """Cancel nothing."""
+
 
 class NoCoordinator:
     """A placement source without coordinators: the node chooses every target."""
--- a/tests/relay/test_coordinator.py
+++ b/tests/relay/test_coordinator.py
@@ -166,7 +166,7 @@
         self.request_placement()
         fleet_view = self.coordinator.catalog.fleet_view
         fleet_view.assignments = {make_assignment_key(SERVICE): OTHER_HOST}
-        self.coordinator.drop_unassigned_ledgers()
+        self.coordinator.drop_outdated()
         self.assertEqual({}, self.coordinator.ledgers)
         self.assertRaises(NotCoordinatorError, self.request_placement)
 
