Close idle connections of a draining node early, and end floods at their deadline

Changes: HttpServer.close_idle, called while a node drains; after a deadline only bytes that had arrived by then are read; a run's deadline is used as it is.

--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -46,8 +46,9 @@
 from .relay.services import RelayServices
 from .relay.target_catalog import TargetCatalog
 from .relay.target_statistics import TargetStatistics
-from .transport.http_server import HttpServer, ServerLimits
+from .transport.http_server import HttpServer
 from .transport.rpc import RpcPool, RpcServer
+from .transport.server_limits import ServerLimits
 
 DRAIN_ACCEPT_S = 2.6
 """Time after a stop request in which clients may still connect; the load balancer
@@ -367,6 +368,7 @@
         await asyncio.sleep(min(DRAIN_ACCEPT_S, drain_s))
         self.client_server.stop_accepting()
         while self.client_server.connection_tasks and time.monotonic() < deadline_s:
+            await self.client_server.close_idle()
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         self.log.info("node_drained", busy=self.client_server.active_requests)
 
--- a/src/laburnumpitch/node.py
+++ b/src/laburnumpitch/node.py
@@ -377,6 +377,7 @@
             if time.monotonic() >= deadline_s:
                 break
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+        await self.http_server.close_idle()
         self.log.info("drain_ended", inflight=self.gateway.inflight)
 
     async def close(self) -> None:
--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -160,7 +160,9 @@
 
     def choose_deadline_s(self, timeout_s: float) -> float:
         """Return the time by which a target must go on after `timeout_s` or less."""
-        return self.services.get_time_s() + self.choose_timeout_s(timeout_s)
+        if self.choose_timeout_s(timeout_s) < timeout_s:
+            return self.deadline_s
+        return self.services.get_time_s() + timeout_s
 
     async def request(self, target: TargetRecord) -> HttpAnswer:
         """Write the request and return the answer once its headers have arrived.
--- a/src/laburnumpitch/transport/http_connection.py
+++ b/src/laburnumpitch/transport/http_connection.py
@@ -8,7 +8,7 @@
 import h11
 
 from ..errors import MalformedAnswerError, TargetError, TargetTimeoutError
-from .http_server import MAX_HEADER_BYTES
+from .server_limits import MAX_HEADER_BYTES
 
 TCP_USER_TIMEOUT_MS = 1000
 """Time in which the other end's machine has to acknowledge sent data; after it the
@@ -62,7 +62,9 @@
         self.busy_events = 0
         """Events read since this connection last waited."""
         self.overrun_deadline_s: float | None = None
-        """Deadline after which received data was read once more."""
+        """Deadline after which only data that had arrived is read."""
+        self.overrun_bytes = 0
+        """Bytes that had arrived by that deadline and were not read yet."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set the socket's options."""
@@ -191,13 +193,17 @@
                 await self.give_turn()
                 return event
             self.check_size()
+            wait_s = self.get_wait_s(deadline_s)
             if not self.unread_chunks and not self.is_input_closed:
-                await self.wait_for_data(self.get_wait_s(deadline_s))
+                await self.wait_for_data(wait_s)
                 self.busy_events = 0
+                if not wait_s:
+                    self.overrun_bytes = self.unread_bytes
             if not self.unread_chunks and self.error is not None:
                 raise TargetError(f"connection lost: {self.error}", has_died=True)
             data = self.pop_unread_data()
             self.answer_bytes += len(data)
+            self.overrun_bytes -= len(data)
             self.has_processed_eof = not data
             self.h11_connection.receive_data(data)
 
@@ -221,15 +227,17 @@
             raise MalformedAnswerError("the answer has too much framing")
 
     def get_wait_s(self, deadline_s: float) -> float:
-        """Return the time to wait for data: 0 once after the deadline.
+        """Return the time to wait for data, which is 0 after the deadline.
 
         Raises:
-            TargetTimeoutError: If data was read after the deadline before.
+            TargetTimeoutError: If all data that had arrived by the deadline was read.
         """
         wait_s = deadline_s - self.loop.time()
         if wait_s > 0:
             return wait_s
-        if self.overrun_deadline_s == deadline_s:
+        if self.overrun_deadline_s != deadline_s:
+            self.overrun_deadline_s = deadline_s
+            self.overrun_bytes = self.unread_bytes
+        elif self.overrun_bytes <= 0:
             raise TargetTimeoutError("the answer did not end in time")
-        self.overrun_deadline_s = deadline_s
         return 0.0
--- a/src/laburnumpitch/transport/http_server.py
+++ b/src/laburnumpitch/transport/http_server.py
@@ -11,22 +11,12 @@
 
 from ..errors import TooLargeError
 from ..logging import get_logger
-
-MAX_HEADER_BYTES = 16 * 1024
-"""Maximum size of request line and headers."""
-
-MAX_BODY_BYTES = 8 * 1024 * 1024
-"""Maximum size of a request's body."""
+from ._socket_state import has_unread_data
+from .server_limits import ServerLimits
 
 MAX_CONNECTIONS = 4096
 """Maximum number of open connections; further ones are closed on arrival."""
 
-IDLE_TIMEOUT_S = 75.0
-"""Timeout of waiting for the next request on a connection."""
-
-HEADER_TIMEOUT_S = 30.0
-"""Timeout of a request's headers, from their first byte."""
-
 BODY_TIMEOUT_S = 30.0
 """Timeout of a request's complete body, from the end of the headers."""
 
@@ -39,16 +29,6 @@
 Headers = list[tuple[str, str]]
 
 
-@dataclass(frozen=True)
-class ServerLimits:
-    """Limits on the size of requests and on the time that clients take."""
-
-    header_bytes: int = MAX_HEADER_BYTES
-    body_bytes: int = MAX_BODY_BYTES
-    header_timeout_s: float = HEADER_TIMEOUT_S
-    idle_timeout_s: float = IDLE_TIMEOUT_S
-
-
 @dataclass(frozen=True)
 class HttpRequest:
     """A request with its complete body."""
@@ -165,6 +145,8 @@
         self.active_requests = 0
         """Number of requests in progress."""
         self.connection_tasks: set[asyncio.Task[None]] = set()
+        self.idle_writers: set[asyncio.StreamWriter] = set()
+        """Connections that wait for a request's first bytes."""
         self.log = get_logger()
         self.server: asyncio.Server | None = None
 
@@ -178,12 +160,24 @@
     def stop_accepting(self) -> None:
         """Accept no new connections; close the others after their next answer.
 
-        Idle connections stay open, as a request may already be on its way.
+        Idle connections stay open until `close_idle`.
         """
         self.is_draining = True
         if self.server is not None:
             self.server.close()
 
+    async def close_idle(self) -> None:
+        """Close the connections on which no request has arrived.
+
+        A request that has arrived, but was not read yet, is answered.
+        """
+        # One pass reads from sockets, the next one runs the tasks that got data.
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        for writer in list(self.idle_writers):
+            if not has_unread_data(writer):
+                writer.close()
+
     async def close(self) -> None:
         """Stop accepting and close every connection."""
         self.stop_accepting()
@@ -268,7 +262,7 @@
         Raises:
             TooLargeError: If the body exceeds its limit.
         """
-        head = await self.read_head(connection, reader)
+        head = await self.read_head(connection, reader, writer)
         if head is None:
             return None
         received_at_s = time.monotonic()
@@ -286,7 +280,10 @@
         return HttpRequest(method, path, query, headers, body, received_at_s)
 
     async def read_head(
-        self, connection: h11.Connection, reader: asyncio.StreamReader
+        self,
+        connection: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> h11.Request | None:
         """Read up to the end of the headers.
 
@@ -301,8 +298,12 @@
             if event is not h11.NEED_DATA:
                 return None
             if deadline_s is None and not connection.trailing_data[0]:
-                async with asyncio.timeout(self.limits.idle_timeout_s):
-                    data = await reader.read(CHUNK_BYTES)
+                self.idle_writers.add(writer)
+                try:
+                    async with asyncio.timeout(self.limits.idle_timeout_s):
+                        data = await reader.read(CHUNK_BYTES)
+                finally:
+                    self.idle_writers.discard(writer)
             else:
                 now_s = time.monotonic()
                 deadline_s = deadline_s or now_s + self.limits.header_timeout_s
--- a/tests/transport/test_draining.py
+++ b/tests/transport/test_draining.py
@@ -67,6 +67,7 @@
                 if stops:
                     # The request is in the server's socket, and not read yet.
                     server.stop_accepting()
+                    await server.close_idle()
                 answers.append(await reader.readuntil(b"whole"))
             answers.append(await reader.read())
             writer.close()
@@ -77,3 +78,25 @@
         self.assertNotIn(CLOSE_HEADER, first.lower())
         self.assertIn(CLOSE_HEADER, second.lower())
         self.assertEqual(b"", rest)
+
+    def test_idle_connection(self) -> None:
+        """An idle connection is closed, so that no request comes on it at the end."""
+
+        async def run() -> bytes:
+            async def handle(request: HttpRequest, responder: Responder) -> None:
+                await responder.send(200, [], b"whole")
+
+            server = HttpServer(HOST, 0, handle)
+            await server.start()
+            reader, writer = await asyncio.open_connection(HOST, server.port)
+            writer.write(REQUEST)
+            await reader.readuntil(b"whole")
+            server.stop_accepting()
+            while server.connection_tasks:
+                await server.close_idle()
+            rest = await reader.read()
+            writer.close()
+            await server.close()
+            return rest
+
+        self.assertEqual(b"", asyncio.run(asyncio.wait_for(run(), TIMEOUT_S)))
--- a/tests/transport/test_endless_answers.py
+++ b/tests/transport/test_endless_answers.py
@@ -6,7 +6,7 @@
 
 import testtools
 
-from laburnumpitch.errors import TargetError
+from laburnumpitch.errors import TargetError, TargetTimeoutError
 from laburnumpitch.transport.http_client import BODY_BUDGET, HttpAnswer, HttpClient
 from laburnumpitch.transport.http_connection import MAX_UNREAD_BYTES, HttpConnection
 
@@ -27,7 +27,9 @@
         return self.connection
 
 
-async def read_answer(client: HttpClient) -> bytes:
+async def read_answer(
+    client: HttpClient, max_answer_bytes: int = MAX_ANSWER_BYTES
+) -> bytes:
     """Request and read a whole answer."""
     answer: HttpAnswer = await client.request(
         "GET",
@@ -36,7 +38,7 @@
         b"",
         first_byte_timeout_s=HEAD_TIMEOUT_S,
         total_timeout_s=TOTAL_TIMEOUT_S,
-        max_answer_bytes=MAX_ANSWER_BYTES,
+        max_answer_bytes=max_answer_bytes,
     )
     return await answer.read()
 
@@ -65,3 +67,36 @@
             server.close()
 
         asyncio.run(asyncio.wait_for(run(), TEST_TIMEOUT_S))
+
+
+class FloodTest(testtools.TestCase):
+    """Answers whose bytes come faster than they are read."""
+
+    scenarios = [row for row in SCENARIOS if row[0] in ("chunks", "unframed_body")]
+
+    def test_ends_at_the_deadline(self) -> None:
+        """Without a bound in bytes, the deadline ends the reading."""
+
+        async def run() -> None:
+            server = EndlessServer(self.answer)
+            client = HttpClient(await server.start())
+            answer = await client.request(
+                "GET",
+                "/",
+                [],
+                b"",
+                first_byte_timeout_s=HEAD_TIMEOUT_S,
+                total_timeout_s=TOTAL_TIMEOUT_S,
+                max_answer_bytes=2**40,
+            )
+            try:
+                async for _ in answer.iterate_body():
+                    # The client's other work lets further bytes arrive.
+                    await asyncio.sleep(0)
+                self.fail("the answer ended")
+            except TargetTimeoutError:
+                answer.close()
+            await server.closed.wait()
+            server.close()
+
+        asyncio.run(asyncio.wait_for(run(), TEST_TIMEOUT_S))
