--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -159,8 +159,11 @@
         return remaining_s
 
     def choose_deadline_s(self, timeout_s: float) -> float:
-        """Return the time by which a target must go on after `timeout_s` or less."""
-        if self.choose_timeout_s(timeout_s) < timeout_s:
+        """Return the time by which a target must go on: `timeout_s` from now.
+
+        If that is too late, or no other target is left, it is the request's deadline.
+        """
+        if self.choose_timeout_s(timeout_s) != timeout_s:
             return self.deadline_s
         return self.services.get_time_s() + timeout_s
 
--- a/tests/relay/test_endless_answers.py
+++ b/tests/relay/test_endless_answers.py
@@ -15,6 +15,9 @@
 SOUND_GAP_S = 0.1
 """Pause between the events of a slow stream, below the route's gap objective."""
 
+LONG_GAP_S = 1.1
+"""A pause that is longer than the time after which a retryable request goes on."""
+
 COMPLETE_STREAM = SEALED_HEAD + make_chunk(EVENTS) + b"0\r\n\r\n"
 HEARTBEAT = EndlessAnswer(CHUNKED_HEAD, make_chunk(b": alive\n\n"), 0.05)
 FIELDS = EndlessAnswer(CHUNKED_HEAD, make_chunk(b"event: ping\n\n"), 0.05)
@@ -112,3 +115,18 @@
             self.assertEqual([1, 0], self.count_requests())
 
         self.run_relay([[slow_stream], [COMPLETE_STREAM]], scenario)
+
+    def test_not_retryable(self) -> None:
+        """Where no other target may go on, silence ends nothing before the deadline."""
+        answer = make_answer()
+        paced = PacedAnswer((answer[:-2], answer[-2:]), LONG_GAP_S)
+        chunk = make_chunk(EVENTS)
+        paced_stream = PacedAnswer((SEALED_HEAD, chunk + b"0\r\n\r\n"), LONG_GAP_S)
+
+        async def scenario() -> None:
+            for route, body in (("once", b"whole"), ("stream", EVENTS)):
+                status, _, received = await self.send_request(route)
+                self.assertEqual((200, body), (status, received))
+            self.assertEqual([2], self.count_requests())
+
+        self.run_relay([[paced, paced_stream]], scenario)
