--- a/src/laburnumpitch/fleet/store_allocations.py
+++ b/src/laburnumpitch/fleet/store_allocations.py
@@ -31,7 +31,7 @@
 """Share of a store's capacity down to which parts are evicted, so that writes find
 space; below `MAX_FILL_RATIO`."""
 
-MIN_MAX_BACKLOG_S = 0.06
+MIN_BACKLOG_LIMIT_S = 0.06
 """Transfer time queued at the store's link up to which each request may wait."""
 
 BACKLOG_PER_PREFILL = 2.0
@@ -160,7 +160,7 @@
         """
         pieces = list(pieces)
         prefill_s = sum(tokens for _, tokens in pieces) / PREFILL_TOKENS_PER_S
-        max_backlog_s = max(MIN_MAX_BACKLOG_S, prefill_s * BACKLOG_PER_PREFILL)
+        max_backlog_s = max(MIN_BACKLOG_LIMIT_S, prefill_s * BACKLOG_PER_PREFILL)
         is_link_busy = self.link_busy_until_s > now_s + max_backlog_s
         grants = []
         for piece_id, tokens in pieces:
--- a/src/laburnumpitch/transport/http_connection.py
+++ b/src/laburnumpitch/transport/http_connection.py
@@ -233,8 +233,8 @@
             TargetTimeoutError: If all data that had arrived by the deadline was read.
         """
         wait_s = deadline_s - self.loop.time()
-        if wait_s > 0:
-            return wait_s
+        if wait_s > 0 or self.is_input_closed:
+            return max(0.0, wait_s)
         if self.overrun_deadline_s != deadline_s:
             self.overrun_deadline_s = deadline_s
             self.overrun_bytes = self.unread_bytes
--- a/tests/fleet/test_store_allocations.py
+++ b/tests/fleet/test_store_allocations.py
@@ -5,7 +5,7 @@
 import testtools
 
 from laburnumpitch.fleet.store_allocations import (
-    MIN_MAX_BACKLOG_S,
+    MIN_BACKLOG_LIMIT_S,
     READ_LEASE_MARGIN_S,
     READ_LEASE_S,
     WRITE_LEASE_S,
@@ -95,7 +95,7 @@
     def test_busy_link_gets_no_reads(self) -> None:
         """No read is granted when the link's backlog exceeds its bound."""
         self.allocations.handle_added(PART_NAME, 1600)
-        self.allocations.link_bytes_per_s = 1600 * 1000 / MIN_MAX_BACKLOG_S / 2
+        self.allocations.link_bytes_per_s = 1600 * 1000 / MIN_BACKLOG_LIMIT_S / 2
         for number in range(5):
             self.allocations.handle_added((SALT, f"p{number}"), 1600)
         grants = [self.request(0.0, (f"p{number}", 1600)) for number in range(5)]
@@ -108,7 +108,7 @@
         The engines still have it in their own memory.
         """
         self.allocations.handle_added(PART_NAME, 1600)
-        self.allocations.link_bytes_per_s = 1600 * 1000 / MIN_MAX_BACKLOG_S * 1.5
+        self.allocations.link_bytes_per_s = 1600 * 1000 / MIN_BACKLOG_LIMIT_S * 1.5
         self.assertEqual([READ_GRANT] * 9, [self.request(0.01 * n) for n in range(9)])
 
     def test_listing(self) -> None:
