--- a/src/laburnumpitch/entry/service_run.py
+++ b/src/laburnumpitch/entry/service_run.py
@@ -39,7 +39,7 @@
 from ..logging import get_logger
 from ..membership.messages import TargetInfo
 from ..statechart import StateChart, StateMachine
-from ..transport.http_client import HOP_BY_HOP_HEADERS, MAX_IDLE_S
+from ..transport.http_client import BODY_TIMEOUT_S, HOP_BY_HOP_HEADERS, MAX_IDLE_S
 from ..transport.http_server import Headers
 from .services import EntryServices
 
@@ -55,8 +55,6 @@
 RESEND_WAIT_S = 10.0
 """Time that a resend waits for the first request's answer."""
 
-BODY_TIMEOUT_S = 30.0
-"""Time for the rest of an answer after the deadline."""
 RESEND_POLL_INTERVAL_S = 0.1
 """Interval of the checks whether the first request has ended."""
 
@@ -385,7 +383,8 @@
         headers.append(("x-request-id", self.request_id))
         headers.append(("x-organisation", self.organisation))
         timeout_s = max(1.0, self.deadline_s - time.monotonic())
-        answer = await self.services.http_clients.get(target.address).request(
+        client = self.services.http_clients.get(target.address)
+        answer = await client.request(
             self.call.method,
             self.call.path,
             headers,
--- a/src/laburnumpitch/transport/http_client.py
+++ b/src/laburnumpitch/transport/http_client.py
@@ -33,6 +33,9 @@
 TOTAL_TIMEOUT_S = 120.0
 """Default timeout of a call, from its start to the end of the answer."""
 
+BODY_TIMEOUT_S = 30.0
+"""Time for the rest of an answer that began just before its caller's deadline."""
+
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 """Default maximum size of an answer, with heads, framing and trailers."""
 
