Log who votes whenever the members of the replicated log change

None of the logs said which replicas are voters, so a majority that a dead voter takes away could not be told from an election that does not settle. members_changed has the voters and learners of each new membership entry.

--- a/src/laburnumpitch/control/replica.py
+++ b/src/laburnumpitch/control/replica.py
@@ -11,7 +11,6 @@
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass
 from typing import Any, Protocol
 
 from msgspec.structs import replace
@@ -23,9 +22,11 @@
 from ..transport.codec import decode, encode
 from ..transport.rpc import RpcPool
 from .log_store import LogStore, Snapshot, get_replica_name
+from .proposals import MembershipProposal, Proposal, fail_future
 from .raft import LEADER, RaftCore
 from .raft_messages import (
     COMMAND,
+    MEMBERSHIP,
     Entry,
     Member,
     RaftMessage,
@@ -64,23 +65,6 @@
         """Return the serialised state."""
 
 
-@dataclass(frozen=True)
-class Proposal:
-    """A proposed command and the future of its result."""
-
-    command: Any
-    future: asyncio.Future[Any]
-    proposed_at_s: float
-
-
-@dataclass(frozen=True)
-class MembershipProposal:
-    """A proposed membership change; the future's result is whether it was appended."""
-
-    members: list[Member]
-    future: asyncio.Future[bool]
-
-
 class Replica:
     """One replica of the log and its state machine.
 
@@ -280,6 +264,19 @@
         else:
             await loop.run_in_executor(self.executor, self.store.write, writes)
         self.core.on_persisted()
+        if any(entry.kind == MEMBERSHIP for entry in writes.entries):
+            self.log_members()
+
+    def log_members(self) -> None:
+        """Log the members of the newest membership entry."""
+        members = self.core.members
+        self.log.info(
+            "members_changed",
+            replica=self.core.replica_id,
+            index=self.core.log.last_index,
+            voters=[member.replica_id for member in members if member.is_voter],
+            learners=[member.replica_id for member in members if not member.is_voter],
+        )
 
     def send_messages(self) -> None:
         """Send the core's messages to the other replicas."""
@@ -389,10 +386,3 @@
         self.applied_index = request.meta.index
         await self.save_snapshot(snapshot)
         self.log.info("snapshot_installed", index=request.meta.index)
-
-
-def fail_future(future: asyncio.Future[Any], error: Exception) -> None:
-    """Fail a future, without a warning if nobody awaits it any more."""
-    if not future.done():
-        future.set_exception(error)
-        future.exception()
