Remove lost voters that the majority cannot spare

What operators saw: after a VM of the core had been replaced and two disks were lost, a confirmed configuration was not read back (503 for good). Cause: a lost voter stayed a voter for ever once its successor had been added beside it. Only a joining replica's calls removed voters, and it stops calling when it votes. Of six voters, one lost, three are no majority after two more losses; without a leader nothing can be repaired. Change: the leader removes lost voters while the reachable ones, less the tolerated losses, are no majority, but keeps twice the losses plus one; a learner waits for a silent voter instead of being added beside it; a voter is lost after half of catch_up_s instead of 6 s, which was longer than some sites give a successor. Ruled out: fewer voters than twice the losses plus one (a majority of them could lose their disks).

--- a/src/laburnumpitch/fleet/leader_service.py
+++ b/src/laburnumpitch/fleet/leader_service.py
@@ -6,12 +6,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from msgspec.structs import replace
-
 from ..control.raft_messages import (
     AppendAnswer,
     AppendRequest,
-    Member,
     SnapshotRequest,
     VoteAnswer,
     VoteRequest,
@@ -45,12 +42,6 @@
 COMPRESSION_LEVEL = 1
 """zlib level; a configuration is compressed once and sent to every node."""
 
-VOTER_TIMEOUT_S = 6.0
-"""Time without an acknowledgement after which a voter may be replaced by a new one."""
-
-MAX_VOTERS = 9
-"""Maximum number of voters; further replicas stay learners."""
-
 
 class LeaderService:
     """Handles calls to the leader; on other nodes, refers callers to the leader.
@@ -215,58 +206,10 @@
             await publisher.wait_confirmed(publisher.update_facts())
 
     async def on_join_core(self, call: JoinCore) -> JoinCoreAnswer:
-        """Make a replica that started with an empty disk a voter.
-
-        Each call takes the next step that is due: add the replica as a learner; once
-        it has caught up, remove the former replica of its host, or else a voter that
-        is unreachable; then make the learner a voter.
-        """
+        """Take the next step that makes a replica with an empty disk a voter."""
         replica, _ = self.require_leader_state()
         if call.cluster_id != self.replica_manager.bootstrap.cluster_id:
             raise ForbiddenError(
                 f"this is cluster {self.replica_manager.bootstrap.cluster_id}"
             )
-        members = replica.core.members
-        own_members = [m for m in members if m.replica_id == call.replica_id]
-        removable = [
-            m
-            for m in members
-            if m.name == call.host and m.replica_id != call.replica_id
-        ]
-        if not own_members:
-            learner = Member(call.replica_id, call.host, call.address, False)
-            await replica.propose_membership_change([*members, learner])
-        elif own_members[0].is_voter:
-            return JoinCoreAnswer(True)
-        elif has_caught_up(replica, call.replica_id):
-            removable = removable or self.find_unreachable_voters(replica)
-            if removable:
-                remaining = [member for member in members if member != removable[0]]
-                await replica.propose_membership_change(remaining)
-            elif len(replica.core.voters) < MAX_VOTERS:
-                remaining = [member for member in members if member not in own_members]
-                await replica.propose_membership_change(
-                    [*remaining, replace(own_members[0], is_voter=True)]
-                )
-        return JoinCoreAnswer(False)
-
-    def find_unreachable_voters(self, replica: Replica) -> list[Member]:
-        """Return voters that have not acknowledged anything for `VOTER_TIMEOUT_S`."""
-        core = replica.core
-        now_s = replica.get_time_s()
-        if now_s - core.leader_since_s < VOTER_TIMEOUT_S:
-            return []
-        return [
-            member
-            for member in core.members
-            if member.is_voter
-            and member.replica_id in core.progress
-            and now_s - core.progress[member.replica_id].last_contact_s
-            > VOTER_TIMEOUT_S
-        ]
-
-
-def has_caught_up(replica: Replica, replica_id: str) -> bool:
-    """Whether a learner has all committed entries."""
-    progress = replica.core.progress.get(replica_id)
-    return progress is not None and progress.match_index >= replica.core.commit_index
+        return await self.replica_manager.voter_set.handle_join(replica, call)
--- a/src/laburnumpitch/fleet/replica_manager.py
+++ b/src/laburnumpitch/fleet/replica_manager.py
@@ -20,10 +20,11 @@
 from .fleet_state import FleetState
 from .leader_client import LeaderClient
 from .messages import JoinCore, NodeRecord
+from .voter_set import VoterSet
 
 JOIN_INTERVAL_S = 0.3
-"""Interval of checks whether the replica can be opened, and of its requests to become
-a voter."""
+"""Interval of checks whether the replica can be opened, of its requests to become a
+voter, and of the leader's checks for lost voters."""
 
 JOIN_TIMEOUT_S = 1.0
 """Time for one request to become a voter."""
@@ -42,6 +43,7 @@
         pool: Connections to other nodes.
         bootstrap: Learns or creates the cluster.
         leader_client: Sends calls to the leader.
+        voter_set: Changes the voters while this replica leads.
         metrics: Metrics of this node.
         announce_interval_s: Interval of the targets' announcements.
         list_assignment_names: Returns the names of all assignments, each of which
@@ -57,6 +59,7 @@
         pool: RpcPool,
         bootstrap: ClusterBootstrap,
         leader_client: LeaderClient,
+        voter_set: VoterSet,
         metrics: Metrics,
         announce_interval_s: float,
         list_assignment_names: Callable[[], list[str]],
@@ -68,6 +71,7 @@
         self.pool = pool
         self.bootstrap = bootstrap
         self.leader_client = leader_client
+        self.voter_set = voter_set
         self.metrics = metrics
         self.announce_interval_s = announce_interval_s
         self.list_assignment_names = list_assignment_names
@@ -162,6 +166,8 @@
                     await self.reopen()
                 elif not self.is_voter():
                     await self.request_voter_role()
+                else:
+                    await self.voter_set.remove_lost_voter(self.replica)
             except LaburnumpitchError as error:
                 self.log.info("join_failed", code=error.code, detail=error.detail)
             except OSError as error:
--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -29,6 +29,7 @@
 from .fleet.rollout_controller import RolloutController
 from .fleet.snapshot_file import SnapshotFile
 from .fleet.store_owners import StoreOwners, list_managed_stores
+from .fleet.voter_set import VoterSet
 from .logging import get_logger
 from .metrics import Metrics
 from .metrics_server import make_metrics_server
@@ -141,6 +142,7 @@
             self.rpc_pool,
             self.bootstrap,
             self.leader_client,
+            VoterSet(self.settings.tolerated_losses, self.settings.catch_up_s),
             self.metrics,
             self.settings.announce_interval_s,
             self.list_assignment_names,
--- a/src/laburnumpitch/platform/settings_file.py
+++ b/src/laburnumpitch/platform/settings_file.py
@@ -30,6 +30,13 @@
     retry_slack: float = 50
     lease_ms: int = 3000
     version_ms: int = 12000
+    catch_up_s: float = 4
+
+
+class WireFaultTolerance(msgspec.Struct):
+    """What may be lost at the same time."""
+
+    machines: int = 1
 
 
 class WireSettings(msgspec.Struct):
@@ -45,6 +52,9 @@
     data_dir: str = ""
     heartbeat_ms: int = 1200
     bounds: WireBounds = msgspec.field(default_factory=WireBounds)
+    fault_tolerance: WireFaultTolerance = msgspec.field(
+        default_factory=WireFaultTolerance
+    )
 
 
 @dataclass(frozen=True)
@@ -80,6 +90,10 @@
     """Time from naming a weight version until no request may begin on older weights."""
     order_lease_s: float
     """Time that must pass between orders of two different leaders to engines."""
+    tolerated_losses: int
+    """Number of VMs with a disk that may be lost at the same time."""
+    catch_up_s: float
+    """Time after which a VM that has started replaces a lost one."""
 
 
 def get_host(address: str) -> str:
@@ -118,4 +132,6 @@
         retry_slack=bounds.retry_slack,
         outdated_weights_s=bounds.version_ms / MS_PER_S,
         order_lease_s=bounds.lease_ms / MS_PER_S,
+        tolerated_losses=wire.fault_tolerance.machines,
+        catch_up_s=float(bounds.catch_up_s),
     )
--- a/tests/fleet/fleet_case.py
+++ b/tests/fleet/fleet_case.py
@@ -23,6 +23,10 @@
 """Interval between checks of a condition, and between attempts of a refused call."""
 
 
+CATCH_UP_S = 4.0
+"""Time that a new node has to replace a lost one."""
+
+
 def make_configuration(version: int, **changes) -> bytes:
     """Return a configuration with one route."""
     document = {
@@ -48,13 +52,17 @@
     Args:
         node_count: Number of nodes.
         disk_count: Number of nodes with a disk.
+        tolerated_losses: Number of nodes with a disk that may be lost at the same time.
     """
 
-    def __init__(self, node_count: int, disk_count: int) -> None:
+    def __init__(
+        self, node_count: int, disk_count: int, tolerated_losses: int = 1
+    ) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="laburnumpitch-fleet-"))
         self.ports = [reserve_port() for _ in range(5)]
         self.hosts = [f"127.0.1.{number + 1}" for number in range(node_count)]
         self.disk_count = disk_count
+        self.tolerated_losses = tolerated_losses
         self.nodes: dict[str, FleetNode] = {}
         self.has_started = False
         self.seeds = tuple(self.hosts[:3])
@@ -82,6 +90,8 @@
             retry_slack=50.0,
             outdated_weights_s=12.0,
             order_lease_s=0.5,
+            tolerated_losses=self.tolerated_losses,
+            catch_up_s=CATCH_UP_S,
         )
 
     async def start(self, *hosts: str) -> None:
@@ -162,11 +172,13 @@
 class FleetCase(testtools.TestCase):
     """Runs a scenario against a fleet."""
 
-    def run_fleet(self, node_count: int, disk_count: int, scenario) -> None:
+    def run_fleet(
+        self, node_count: int, disk_count: int, scenario, tolerated_losses: int = 1
+    ) -> None:
         """Start a fleet, run a scenario against it and stop the fleet."""
 
         async def run() -> None:
-            self.fleet = Fleet(node_count, disk_count)
+            self.fleet = Fleet(node_count, disk_count, tolerated_losses)
             try:
                 await scenario(self.fleet)
             finally:
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -149,6 +149,47 @@
         self.run_fleet(3, 3, scenario)
 
 
+class ReplacedVoterTest(FleetCase):
+    """A configuration that was not read back after a voter had been replaced."""
+
+    def test_two_disks_are_lost_after_a_replacement(self) -> None:
+        """The dead voter no longer counts, so three of five voters are a majority."""
+
+        async def scenario(fleet: Fleet) -> None:
+            *first_hosts, successor = fleet.hosts
+            await fleet.start(*first_hosts)
+            await fleet.put_configuration(fleet.hosts[0], make_configuration(5))
+            await fleet.stop(fleet.hosts[0])
+            await fleet.start(successor)
+            await wait_until(lambda: successor in fleet.list_voters())
+            await wait_until(lambda: fleet.list_voters() == set(fleet.hosts[1:]))
+            await fleet.put_configuration(successor, make_configuration(6))
+            await fleet.stop()
+            for host in fleet.hosts[1:3]:
+                fleet.wipe(host)
+            await fleet.start(*fleet.hosts[1:])
+            await wait_until(fleet.get_leader)
+            answer = await fleet.call(successor, "GET", "/-/configuration")
+            self.assertEqual((200, make_configuration(6)), answer)
+
+        self.run_fleet(6, 6, scenario, tolerated_losses=2)
+
+    def test_voter_stops_after_its_successor_joined(self) -> None:
+        """It is removed, since six voters tolerate no more losses than five."""
+
+        async def scenario(fleet: Fleet) -> None:
+            *first_hosts, successor = fleet.hosts
+            await fleet.start(*first_hosts)
+            await fleet.put_configuration(fleet.hosts[0], make_configuration(5))
+            await fleet.start(successor)
+            await wait_until(lambda: fleet.list_voters() == set(fleet.hosts))
+            await fleet.put_configuration(successor, make_configuration(6))
+            await fleet.stop(fleet.hosts[0])
+            await wait_until(lambda: fleet.list_voters() == set(fleet.hosts[1:]))
+
+        self.run_fleet(6, 6, scenario, tolerated_losses=2)
+
+
 class SeedsTest(FleetCase):
     """Seeds that are replaced by others in the settings."""
 
