Let only a voter that gets no heartbeats empty its folder

Cause: a replica that was missing in the members that the leader had published emptied its folder at once. These members are up to 0.3 s old, more on a busy leader, so a learner that has just become a voter could be missing; and they held changes that were not committed, which another leader may undo. Either way an intact disk was lost, which counts against the losses that are tolerated. The check also ran beside the task that opens the replica, which could reopen the folder while it was being emptied. Evidence: WronglyEmptiedFolderTest fails on the code before (the replica has another identifier afterwards). Change: only committed members are published; the task that owns the replica checks them, and only once no heartbeat has come for 1 s.

--- a/src/laburnumpitch/control/raft.py
+++ b/src/laburnumpitch/control/raft.py
@@ -119,6 +119,11 @@
         """Members of the latest membership entry, which applies before it commits."""
         return self.log.get_latest_members()
 
+    @property
+    def committed_members(self) -> list[Member]:
+        """Members of the latest membership entry that is committed."""
+        return self.log.get_committed_members(self.commit_index)
+
     @property
     def voters(self) -> set[str]:
         """Identifiers of the voters."""
--- a/src/laburnumpitch/control/raft_log.py
+++ b/src/laburnumpitch/control/raft_log.py
@@ -68,6 +68,13 @@
                 return entry.members
         return self.snapshot_meta.members
 
+    def get_committed_members(self, commit_index: int) -> list[Member]:
+        """Return the members of the latest committed membership entry."""
+        for entry in reversed(self.entries[: commit_index - self.snapshot_meta.index]):
+            if entry.kind == MEMBERSHIP:
+                return entry.members
+        return self.snapshot_meta.members
+
     def has_uncommitted_membership(self, commit_index: int) -> bool:
         """Whether a membership change is not committed yet."""
         uncommitted_entries = self.entries[
--- a/src/laburnumpitch/fleet/fleet_publisher.py
+++ b/src/laburnumpitch/fleet/fleet_publisher.py
@@ -362,7 +362,7 @@
         now_s = self.get_time_s()
         facts = FleetFacts(
             weights=dict(self.replica.state_machine.state.weights),
-            members=self.replica.core.members,
+            members=self.replica.core.committed_members,
             hosts=sorted(
                 host
                 for host, subscriber in self.subscribers.items()
--- a/src/laburnumpitch/fleet/replica_manager.py
+++ b/src/laburnumpitch/fleet/replica_manager.py
@@ -9,6 +9,7 @@
 
 from .._tasks import cancel_and_wait
 from ..control.log_store import LogStore, create_identity, make_unique_replica_id
+from ..control.raft import LEADER
 from ..control.raft_messages import Member
 from ..control.replica import Replica
 from ..errors import LaburnumpitchError, LogCorruptError, NotLeaderError
@@ -23,8 +24,12 @@
 from .voter_set import VoterSet
 
 JOIN_INTERVAL_S = 0.3
-"""Interval of checks whether the replica can be opened, of its requests to become a
-voter, and of the leader's checks for lost voters."""
+"""Interval of checks whether the replica can be opened or was removed, of its requests
+to become a voter, and of the leader's checks for lost voters."""
+
+REMOVAL_SILENCE_S = 1.0
+"""Time without an entry or heartbeat of a leader after which a replica that is missing
+in the leader's members has been removed; members get one each 0.1 s."""
 
 JOIN_TIMEOUT_S = 1.0
 """Time for one request to become a voter."""
@@ -49,6 +54,8 @@
         list_assignment_names: Returns the names of all assignments, each of which
             needs one node: addresses of stores, and names of services' coordinators.
         get_assignments: Returns this node's copy of the assignments.
+        list_members: Returns the members as the leader has published them; none
+            without contact with a leader.
         get_time_s: Monotonic time.
     """
 
@@ -64,6 +71,7 @@
         announce_interval_s: float,
         list_assignment_names: Callable[[], list[str]],
         get_assignments: Callable[[], dict[str, str]],
+        list_members: Callable[[], list[Member]],
         get_time_s: Callable[[], float],
     ) -> None:
         self.node = node
@@ -76,6 +84,7 @@
         self.announce_interval_s = announce_interval_s
         self.list_assignment_names = list_assignment_names
         self.get_assignments = get_assignments
+        self.list_members = list_members
         self.get_time_s = get_time_s
         self.replica: Replica | None = None
         self.publisher: FleetPublisher | None = None
@@ -164,6 +173,8 @@
                     await self.initialize()
                 elif self.replica.is_failed:
                     await self.reopen()
+                elif self.is_removed():
+                    await self.reset()
                 elif not self.is_voter():
                     await self.request_voter_role()
                 else:
@@ -227,18 +238,24 @@
             raise NotLeaderError("")
         return self.replica
 
-    async def reset_if_removed(self, members: list[Member]) -> None:
-        """Delete this replica if the leader's members no longer include it.
+    def is_removed(self) -> bool:
+        """Whether the cluster has removed this replica, which still is a voter itself.
 
-        A replica that was replaced while it was unreachable must not vote again.
+        A replica that was replaced while it was unreachable must not vote again. The
+        leader's list may be a little older than the replica's log, but the leader sends
+        entries to members only.
         """
-        replica = self.replica
-        if replica is None or not members or replica.core.role == "leader":
-            return
-        listed_ids = {member.replica_id for member in members}
-        if replica.core.replica_id in listed_ids or not self.is_voter():
-            return
-        self.log.warning("replica_replaced", replica=replica.core.replica_id)
+        replica, members = self.replica, self.list_members()
+        if replica is None or not members or not self.is_voter():
+            return False
+        silence_s = self.get_time_s() - replica.core.last_leader_contact_s
+        if replica.core.role == LEADER or silence_s < REMOVAL_SILENCE_S:
+            return False
+        return replica.core.replica_id not in {m.replica_id for m in members}
+
+    async def reset(self) -> None:
+        """Delete this replica; the node then joins with a new one."""
+        self.log.warning("replica_replaced", replica=self.replica.core.replica_id)
         await self.close_replica()
         self.wipe()
         self.bootstrap.is_first_start = False
--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -12,6 +12,7 @@
 
 from ._tasks import cancel_and_wait
 from .clock_sources import get_boottime_s
+from .control.raft_messages import Member
 from .errors import SettingsError
 from .fleet.bootstrap import ClusterBootstrap
 from .fleet.fleet_view import FleetView
@@ -147,6 +148,7 @@
             self.settings.announce_interval_s,
             self.list_assignment_names,
             lambda: self.fleet_view.assignments,
+            self.list_members,
             get_boottime_s,
         )
 
@@ -276,7 +278,6 @@
                 get_boottime_s,
             )
             self.rollout_task = asyncio.create_task(self.rollout_controller.run())
-            self.fleet_view.on_change.append(self.reset_replica_if_removed)
         await self.fleet_view.start()
         self.bootstrap_task = asyncio.create_task(self.run_bootstrap())
         for server in self.http_servers:
@@ -321,12 +322,9 @@
             self.leader_client.leader_name if self.fleet_view.has_leader_contact else ""
         )
 
-    def reset_replica_if_removed(self) -> None:
-        """Delete this node's replica if the cluster has replaced it."""
-        members = self.fleet_view.members
-        self.reset_task = asyncio.create_task(
-            self.replica_manager.reset_if_removed(members)
-        )
+    def list_members(self) -> list[Member]:
+        """Return the members that the leader has published; none without a leader."""
+        return self.fleet_view.members if self.fleet_view.has_leader_contact else []
 
     def apply_client_limits(self) -> None:
         """Apply the configuration's limits to the server for clients."""
--- a/tests/control/test_raft_scenarios.py
+++ b/tests/control/test_raft_scenarios.py
@@ -8,6 +8,7 @@
 
 from laburnumpitch.control.raft import (
     ELECTION_TIMEOUT_S,
+    HEARTBEAT_INTERVAL_S,
     LEADER,
     LEADER_LEASE_S,
     RaftCore,
@@ -114,3 +115,23 @@
         self.assertFalse(core.propose_membership_change([*core.members, *new]))
         self.assertTrue(core.propose_membership_change([*core.members, new[0]]))
         self.assertFalse(core.propose_membership_change(core.members[:3]))
+
+
+class CommittedMembersTest(testtools.TestCase):
+    """Members that other nodes may act on."""
+
+    def test_uncommitted_removal(self) -> None:
+        """A removal counts once it is committed; another leader may undo it before."""
+        network = RaftNetwork(3, seed=1)
+        elect(network, "r0")
+        deliver_between(network, set(network.cores))
+        core = network.cores["r0"]
+        core.propose_membership_change([m for m in core.members if m.name != "r2"])
+        self.assertEqual({"r0", "r1"}, core.voters)
+        self.assertEqual(
+            ["r0", "r1", "r2"], [m.replica_id for m in core.committed_members]
+        )
+        for _ in range(2):
+            network.advance_time("r0", 1.1 * HEARTBEAT_INTERVAL_S)
+            deliver_between(network, {"r0", "r1"})
+        self.assertEqual(["r0", "r1"], [m.replica_id for m in core.committed_members])
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import msgspec
 
 from laburnumpitch.control.raft import LEADER
+from laburnumpitch.fleet.replica_manager import JOIN_INTERVAL_S
 
 from .fleet_case import Fleet, FleetCase, make_configuration, wait_until
 
@@ -175,7 +178,7 @@
         self.run_fleet(6, 6, scenario, tolerated_losses=2)
 
     def test_voter_stops_after_its_successor_joined(self) -> None:
-        """It is removed, since six voters tolerate no more losses than five."""
+        """It is removed, and joins again as a new replica if it returns."""
 
         async def scenario(fleet: Fleet) -> None:
             *first_hosts, successor = fleet.hosts
@@ -186,10 +189,37 @@
             await fleet.put_configuration(successor, make_configuration(6))
             await fleet.stop(fleet.hosts[0])
             await wait_until(lambda: fleet.list_voters() == set(fleet.hosts[1:]))
+            await fleet.start(fleet.hosts[0])
+            await wait_until(lambda: fleet.list_voters() == set(fleet.hosts))
 
         self.run_fleet(6, 6, scenario, tolerated_losses=2)
 
 
+class WronglyEmptiedFolderTest(FleetCase):
+    """A voter that emptied its folder though it had not been removed."""
+
+    def test_published_members_are_older_than_the_log(self) -> None:
+        """A voter that the leader still sends heartbeats to keeps its folder."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await fleet.start()
+            await fleet.put_configuration(fleet.hosts[0], make_configuration(5))
+            leader = fleet.get_leader()
+            node = next(n for n in fleet.nodes.values() if n is not leader)
+            replica_id = node.replica_manager.replica.core.replica_id
+            view = node.fleet_view
+            await wait_until(lambda: view.members)
+            view.members = [m for m in view.members if m.name != node.settings.host]
+            for callback in view.on_change:
+                callback()
+            await fleet.put_configuration(fleet.hosts[0], make_configuration(6))
+            await wait_until(lambda: fleet.list_versions() == {6})
+            await asyncio.sleep(2 * JOIN_INTERVAL_S)
+            self.assertEqual(replica_id, node.replica_manager.replica.core.replica_id)
+
+        self.run_fleet(3, 3, scenario)
+
+
 class SeedsTest(FleetCase):
     """Seeds that are replaced by others in the settings."""
 
--- a/tests/fleet/test_fleet_publisher.py
+++ b/tests/fleet/test_fleet_publisher.py
@@ -25,7 +25,7 @@
     state = SimpleNamespace(configuration_version=1, configuration=b"", weights={})
     replica = SimpleNamespace(
         require_leader=lambda: None,
-        core=SimpleNamespace(term=TERM, members=[]),
+        core=SimpleNamespace(term=TERM, committed_members=[]),
         state_machine=SimpleNamespace(state=state),
     )
     return FleetPublisher(replica, 1.0, list, dict, asyncio.get_running_loop().time)
