Count crashes of targets by the pieces of their prompts

Cause: only whole requests were counted (a hash of organisation, path, query and body), so requests of which no two are alike never counted together. QuarantinedPieceTest and DeathReportTest fail on it: nothing names or refuses a piece. Change: nodes report the unanswered shared pieces of a request whose target has died (it accepts no connection any more, where a broken connection was enough before), the leader attributes crashes to pieces (policy/crash_attribution.py), complete answers clear them, and a proven piece is refused on every node as not run, before each sending. Quarantines outlast the leader and restarts. A request that may have run and then meets a quarantine is answered 502, no longer 503. Ruled out: lost notices and late news of quarantines (no such lines).

--- a/src/laburnumpitch/fleet/fleet_publisher.py
+++ b/src/laburnumpitch/fleet/fleet_publisher.py
@@ -22,9 +22,11 @@
     Follow,
     FollowAnswer,
     NodeRecord,
+    PiecesCompleted,
     TargetDied,
     TargetUnreachable,
 )
+from .quarantine import Quarantine
 from .target_table import TargetTable
 
 MIN_HOLD_S = 0.3
@@ -65,17 +67,6 @@
 """Time since a node's last contact after which its assignments move to other nodes; by
 then it frees no parts of stores any more (`FREE_CONTACT_S`, `FREE_VALIDITY_MS`)."""
 
-MAX_TARGET_DEATHS = 3
-"""Number of targets that died while they ran the same request, from which on the
-request is quarantined, that is refused on all nodes."""
-
-MAX_QUARANTINED = 200
-"""Maximum number of quarantined requests; the oldest ones are dropped."""
-
-MAX_SUSPECTS = 5000
-"""Maximum number of requests whose target deaths are counted; the oldest ones are
-dropped."""
-
 
 @dataclass
 class SubscriberState:
@@ -97,15 +88,15 @@
     """Holds the leader's soft state of one term and sends its changes to the nodes.
 
     Soft state is what the replicated log doesn't hold: targets, subscribed nodes,
-    their loads, assignments and quarantined requests.
+    their loads, assignments and quarantines.
 
     Args:
         replica: This node's replica.
         announce_interval_s: Interval of the targets' announcements.
         list_assignment_names: Returns the names of all assignments, each of which
             needs one node: addresses of stores, and names of services' coordinators.
-        get_assignments: Returns this node's copy of the assignments, from which a new
-            term starts so that assignments to live nodes stay.
+        get_facts: Returns this node's copy of the facts, from which a new term starts
+            so that assignments to live nodes and quarantines stay.
         get_time_s: Monotonic time.
     """
 
@@ -114,13 +105,13 @@
         replica: Replica,
         announce_interval_s: float,
         list_assignment_names: Callable[[], list[str]],
-        get_assignments: Callable[[], dict[str, str]],
+        get_facts: Callable[[], FleetFacts | None],
         get_time_s: Callable[[], float],
     ) -> None:
         self.replica = replica
         self.announce_interval_s = announce_interval_s
         self.list_assignment_names = list_assignment_names
-        self.get_assignments = get_assignments
+        self.get_facts = get_facts
         self.get_time_s = get_time_s
         self.log = get_logger()
         self.change_event = asyncio.Event()
@@ -130,17 +121,14 @@
         self.reset(-1)
 
     def reset(self, term: int) -> None:
-        """Start a term with empty soft state, except for the assignments."""
+        """Start a term with what nodes know of assignments and quarantines."""
         self.term = term
         self.started_s = self.get_time_s()
         self.targets = TargetTable(self.announce_interval_s)
         self.subscribers: dict[str, SubscriberState] = {}
-        self.deaths: dict[str, set[str]] = {}
-        """Targets' incarnations that died while they ran a request, by the request's
-        fingerprint."""
-        self.quarantined: dict[str, None] = {}
-        """Fingerprints of quarantined requests, oldest first."""
-        self.assignments = dict(self.get_assignments())
+        known_facts = self.get_facts()
+        self.quarantine = Quarantine(known_facts, self.started_s)
+        self.assignments = dict(known_facts.keepers) if known_facts else {}
         self.loads = LoadTotals()
         self.facts: FleetFacts | None = None
         self.facts_sequence = 0
@@ -301,6 +289,7 @@
                 continue
             self.update_assignments()
             self.drop_stale_loads()
+            self.quarantine.update(self.get_time_s())
             self.update_facts()
             if self.is_settled and self.targets.check_announcements(self.get_time_s()):
                 self.publish()
@@ -368,8 +357,10 @@
                 for host, subscriber in self.subscribers.items()
                 if subscriber.is_live(now_s)
             ),
-            quarantined=list(self.quarantined),
+            quarantined=list(self.quarantine.fingerprints),
             keepers=self.assignments,
+            quarantined_pieces=list(self.quarantine.pieces),
+            suspect_pieces=self.quarantine.list_suspect_pieces(),
         )
         if facts != self.facts:
             self.facts = facts
@@ -377,22 +368,12 @@
         return self.facts_sequence
 
     def handle_target_death(self, notice: TargetDied) -> None:
-        """Count a target that died while it ran a request; quarantine the request.
-
-        A target's incarnation counts once for each request.
-        """
+        """Record a target that died while it had a request."""
         self.check_term()
-        while len(self.deaths) > MAX_SUSPECTS:
-            del self.deaths[next(iter(self.deaths))]
-        dead_targets = self.deaths.setdefault(notice.fingerprint, set())
-        dead_targets.add(f"{notice.target_id}/{notice.born_ms}")
-        if (
-            len(dead_targets) < MAX_TARGET_DEATHS
-            or notice.fingerprint in self.quarantined
-        ):
-            return
-        self.log.warning("request_quarantined", fingerprint=notice.fingerprint)
-        self.quarantined[notice.fingerprint] = None
-        while len(self.quarantined) > MAX_QUARANTINED:
-            del self.quarantined[next(iter(self.quarantined))]
+        self.quarantine.record_death(notice, self.get_time_s())
         self.update_facts()
+
+    def handle_completed_pieces(self, notice: PiecesCompleted) -> None:
+        """Clear pieces on which a target has completed an answer."""
+        self.check_term()
+        self.quarantine.record_completed(notice.pieces)
--- a/src/laburnumpitch/fleet/fleet_view.py
+++ b/src/laburnumpitch/fleet/fleet_view.py
@@ -70,6 +70,10 @@
         """Time since when this node knows a model's desired version."""
         self.quarantined: frozenset[str] = frozenset()
         """Fingerprints of requests that no node runs any more."""
+        self.quarantined_pieces: frozenset[str] = frozenset()
+        """Pieces of prompts that no node sends to a target any more."""
+        self.suspect_pieces: frozenset[str] = frozenset()
+        """Pieces of which a completed answer is reported to the leader."""
         self.assignments: dict[str, str] = {}
         """Host of each assignment, by its name."""
         self.members: list[Member] = []
@@ -209,6 +213,8 @@
                 self.weight_versions_since_s[model] = self.get_time_s()
         self.weight_versions = facts.weights
         self.quarantined = frozenset(facts.quarantined)
+        self.quarantined_pieces = frozenset(facts.quarantined_pieces)
+        self.suspect_pieces = frozenset(facts.suspect_pieces)
         self.assignments = facts.keepers
         self.members = facts.members
         self.hosts = facts.hosts
--- a/src/laburnumpitch/fleet/leader_service.py
+++ b/src/laburnumpitch/fleet/leader_service.py
@@ -28,6 +28,7 @@
     FollowAnswer,
     JoinCore,
     JoinCoreAnswer,
+    PiecesCompleted,
     PutConfiguration,
     PutWeights,
     ReadConfiguration,
@@ -80,6 +81,7 @@
         server.on(ReadConfiguration, self.on_read_configuration)
         server.on(PutWeights, self.on_put_weights)
         server.on(TargetDied, self.on_target_died)
+        server.on(PiecesCompleted, self.on_pieces_completed)
         server.on(TargetUnreachable, self.on_target_unreachable)
         server.on(JoinCore, self.on_join_core)
 
@@ -113,10 +115,15 @@
         return await publisher.handle_follow(call)
 
     async def on_target_died(self, notice: TargetDied) -> None:
-        """Count the death of a target that ran a request."""
+        """Record the death of a target that had a request."""
         _, publisher = self.require_leader_state()
         publisher.handle_target_death(notice)
 
+    async def on_pieces_completed(self, notice: PiecesCompleted) -> None:
+        """Clear pieces on which a target has completed an answer."""
+        _, publisher = self.require_leader_state()
+        publisher.handle_completed_pieces(notice)
+
     async def on_target_unreachable(self, notice: TargetUnreachable) -> None:
         """Handle a node's notice that it cannot reach a target."""
         _, publisher = self.require_leader_state()
--- a/src/laburnumpitch/fleet/messages.py
+++ b/src/laburnumpitch/fleet/messages.py
@@ -115,6 +115,10 @@
     keepers: dict[str, str]
     """Assignments: host of each store's owner by the store's address, and of each
     service's coordinator by the coordinator's name."""
+    quarantined_pieces: list[str] = field(default_factory=list)
+    """Pieces of prompts that crash targets."""
+    suspect_pieces: list[str] = field(default_factory=list)
+    """Pieces that may crash targets; nodes report completed answers on them."""
 
 
 class FleetSnapshot(Message):
@@ -196,11 +200,19 @@
 
 
 class TargetDied(Message):
-    """Reports that a target's connection broke while it ran a request."""
+    """Reports that a target died while it had a request."""
 
     fingerprint: str
     target_id: str
     born_ms: int
+    pieces: list[str] = field(default_factory=list)
+    """The prompt's shared pieces that may be the cause, in sequence."""
+
+
+class PiecesCompleted(Message):
+    """Reports that a target has completed an answer on suspect pieces."""
+
+    pieces: list[str]
 
 
 class GrantContext(Message):
--- /dev/null
+++ b/src/laburnumpitch/fleet/quarantine.py
@@ -0,0 +1,91 @@
+"""The leader's record of requests, and of pieces of prompts, that crash targets."""
+
+from __future__ import annotations
+
+from ..logging import get_logger
+from ..policy.crash_attribution import CrashAttribution
+from .messages import FleetFacts, TargetDied
+
+MAX_TARGET_DEATHS = 3
+"""Number of targets that died while they ran the same request, from which on the
+request is quarantined, that is refused on all nodes."""
+
+MAX_QUARANTINED = 200
+"""Maximum number of quarantined requests, and of quarantined pieces; the oldest ones
+are dropped."""
+
+MAX_SUSPECTS = 5000
+"""Maximum number of requests whose target deaths are counted; the oldest ones are
+dropped."""
+
+PIECE_QUARANTINE_S = 600.0
+"""Time for which requests with a piece that crashed targets are refused."""
+
+
+class Quarantine:
+    """Counts targets' deaths, and lists what all nodes have to refuse.
+
+    Args:
+        facts: The fleet's facts as a former leader published them; None without any.
+        now_s: Monotonic time.
+    """
+
+    def __init__(self, facts: FleetFacts | None, now_s: float) -> None:
+        self.deaths: dict[str, set[str]] = {}
+        """Targets' incarnations that died while they ran a request, by the request's
+        fingerprint."""
+        self.fingerprints: dict[str, None] = dict.fromkeys(
+            facts.quarantined if facts else ()
+        )
+        """Fingerprints of quarantined requests, oldest first."""
+        self.pieces: dict[str, float] = dict.fromkeys(
+            facts.quarantined_pieces if facts else (), now_s
+        )
+        """Time since when each quarantined piece is refused, oldest first."""
+        self.attribution = CrashAttribution()
+        self.log = get_logger()
+
+    def record_death(self, notice: TargetDied, now_s: float) -> None:
+        """Record a target that died while it had a request.
+
+        A target's incarnation counts once for each request.
+        """
+        incarnation = f"{notice.target_id}/{notice.born_ms}"
+        self.count_death(notice.fingerprint, incarnation)
+        if any(piece in self.pieces for piece in notice.pieces):
+            self.attribution.record_explained(incarnation, now_s)
+        else:
+            self.attribution.record_crash(incarnation, notice.pieces, now_s)
+
+    def count_death(self, fingerprint: str, incarnation: str) -> None:
+        """Count a death for a request, and quarantine the request if it is due."""
+        while len(self.deaths) > MAX_SUSPECTS:
+            del self.deaths[next(iter(self.deaths))]
+        dead_targets = self.deaths.setdefault(fingerprint, set())
+        dead_targets.add(incarnation)
+        if len(dead_targets) < MAX_TARGET_DEATHS or fingerprint in self.fingerprints:
+            return
+        self.log.warning("request_quarantined", fingerprint=fingerprint)
+        self.fingerprints[fingerprint] = None
+        while len(self.fingerprints) > MAX_QUARANTINED:
+            del self.fingerprints[next(iter(self.fingerprints))]
+
+    def record_completed(self, pieces: list[str]) -> None:
+        """Clear pieces on which a target has completed an answer."""
+        self.attribution.record_completed(pieces)
+
+    def update(self, now_s: float) -> None:
+        """Quarantine pieces that are proven to crash targets, and release old ones."""
+        for piece, since_s in list(self.pieces.items()):
+            if now_s - since_s > PIECE_QUARANTINE_S:
+                self.log.info("piece_released", piece=piece)
+                del self.pieces[piece]
+        while (piece := self.attribution.pop_proven(now_s)) is not None:
+            self.log.warning("piece_quarantined", piece=piece)
+            self.pieces[piece] = now_s
+        while len(self.pieces) > MAX_QUARANTINED:
+            del self.pieces[next(iter(self.pieces))]
+
+    def list_suspect_pieces(self) -> list[str]:
+        """Return the pieces of which nodes have to report a completed answer."""
+        return self.attribution.list_suspects()
--- a/src/laburnumpitch/fleet/replica_manager.py
+++ b/src/laburnumpitch/fleet/replica_manager.py
@@ -20,7 +20,7 @@
 from .fleet_publisher import FleetPublisher
 from .fleet_state import FleetState
 from .leader_client import LeaderClient
-from .messages import JoinCore, NodeRecord
+from .messages import FleetFacts, JoinCore, NodeRecord
 from .voter_set import VoterSet
 
 JOIN_INTERVAL_S = 0.3
@@ -53,7 +53,7 @@
         announce_interval_s: Interval of the targets' announcements.
         list_assignment_names: Returns the names of all assignments, each of which
             needs one node: addresses of stores, and names of services' coordinators.
-        get_assignments: Returns this node's copy of the assignments.
+        get_facts: Returns this node's copy of the fleet's facts; None without any.
         list_members: Returns the members as the leader has published them; none
             without contact with a leader.
         get_time_s: Monotonic time.
@@ -70,7 +70,7 @@
         metrics: Metrics,
         announce_interval_s: float,
         list_assignment_names: Callable[[], list[str]],
-        get_assignments: Callable[[], dict[str, str]],
+        get_facts: Callable[[], FleetFacts | None],
         list_members: Callable[[], list[Member]],
         get_time_s: Callable[[], float],
     ) -> None:
@@ -83,7 +83,7 @@
         self.metrics = metrics
         self.announce_interval_s = announce_interval_s
         self.list_assignment_names = list_assignment_names
-        self.get_assignments = get_assignments
+        self.get_facts = get_facts
         self.list_members = list_members
         self.get_time_s = get_time_s
         self.replica: Replica | None = None
@@ -151,7 +151,7 @@
             replica,
             self.announce_interval_s,
             self.list_assignment_names,
-            self.get_assignments,
+            self.get_facts,
             self.get_time_s,
         )
         self.publisher_task = asyncio.create_task(self.publisher.run())
--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -147,7 +147,7 @@
             self.metrics,
             self.settings.announce_interval_s,
             self.list_assignment_names,
-            lambda: self.fleet_view.assignments,
+            lambda: self.fleet_view.facts,
             self.list_members,
             get_boottime_s,
         )
--- a/src/laburnumpitch/relay/answer_checks.py
+++ b/src/laburnumpitch/relay/answer_checks.py
@@ -16,6 +16,10 @@
 MAX_STREAM_BYTES = 64 * 1024 * 1024
 """Maximum size of a stream, of which a node holds one event at a time."""
 
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+"""Statuses that tell a client that its request has not run. A target's own answer with
+one of them is not passed on, unless the target confirms that it did not run."""
+
 
 def check_answer(metadata: AnswerMetadata, request_id: str) -> None:
     """Check that an answer belongs to a request and has its own bytes.
--- /dev/null
+++ b/src/laburnumpitch/relay/crash_reports.py
@@ -0,0 +1,113 @@
+"""Reports targets that died to the leader, and refuses requests that crash targets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from ..errors import QuarantinedError, TargetError
+from ..fleet.fleet_view import FleetView
+from ..fleet.messages import PiecesCompleted, TargetDied, TargetRecord
+from ..logging import get_logger
+from ..policy.completed_pieces import CompletedPieces
+from ..transport.http_client import HttpClientPool
+from .leader_notices import LeaderNotices
+from .request import AdmittedRequest
+
+DEATH_CHECK_TIMEOUT_S = 0.3
+"""Timeout of the connection that shows whether a target still runs."""
+
+DEATH_CHECK_VALIDITY_S = 1.0
+"""Time for which the result of such a check is used again."""
+
+
+class CrashReports:
+    """A node's part in finding requests, and pieces of prompts, that crash targets.
+
+    Args:
+        fleet_view: This node's copy of the fleet's state.
+        clients: Connections to targets.
+        notices: Sends notices to the leader.
+        get_time_s: Monotonic time.
+    """
+
+    def __init__(
+        self,
+        fleet_view: FleetView,
+        clients: HttpClientPool,
+        notices: LeaderNotices,
+        get_time_s: Callable[[], float],
+    ) -> None:
+        self.fleet_view = fleet_view
+        self.clients = clients
+        self.notices = notices
+        self.get_time_s = get_time_s
+        self.completed = CompletedPieces()
+        self.death_checks: dict[tuple[str, int], asyncio.Task[bool]] = {}
+        """Check of each target's incarnation that may have died."""
+        self.log = get_logger()
+
+    def check(self, admitted: AdmittedRequest) -> None:
+        """Check that a request is not known to crash targets.
+
+        Raises:
+            QuarantinedError: If it is.
+        """
+        view = self.fleet_view
+        if view.quarantined and admitted.fingerprint in view.quarantined:
+            raise QuarantinedError("this request crashed targets before")
+        for piece in admitted.metadata.shared_pieces:
+            if piece.piece_id in view.quarantined_pieces:
+                raise QuarantinedError(f"piece {piece.piece_id} crashed targets before")
+
+    def record_completed(self, admitted: AdmittedRequest) -> None:
+        """Record a complete answer, which clears the pieces of its prompt."""
+        pieces = [piece.piece_id for piece in admitted.metadata.shared_pieces]
+        self.completed.record(pieces, self.get_time_s())
+        cleared = [piece for piece in pieces if piece in self.fleet_view.suspect_pieces]
+        if cleared:
+            self.notices.start(PiecesCompleted(cleared))
+
+    def start_report(
+        self, admitted: AdmittedRequest, target: TargetRecord, has_begun: bool
+    ) -> None:
+        """Report in the background that a target died, if it did.
+
+        Args:
+            admitted: The request that the target had.
+            target: The target whose connection broke.
+            has_begun: Whether the answer had begun, which clears the request's pieces.
+        """
+        pieces = [piece.piece_id for piece in admitted.metadata.shared_pieces]
+        suspects = self.completed.select_suspects(pieces, self.get_time_s())
+        notice = TargetDied(
+            admitted.fingerprint,
+            target.target_id,
+            target.born_ms,
+            [] if has_begun else suspects,
+        )
+        self.notices.start_task(self.report_death(notice, target))
+
+    async def report_death(self, notice: TargetDied, target: TargetRecord) -> None:
+        """Send a notice if the target accepts no connection any more."""
+        key = (target.target_id, target.born_ms)
+        check = self.death_checks.get(key)
+        if check is None:
+            check = asyncio.create_task(self.has_died(target))
+            self.death_checks[key] = check
+            loop = asyncio.get_running_loop()
+            loop.call_later(DEATH_CHECK_VALIDITY_S, self.death_checks.pop, key, None)
+        if await check:
+            await self.notices.send(notice)
+
+    async def has_died(self, target: TargetRecord) -> bool:
+        """Whether a target accepts no connection."""
+        try:
+            connection = await self.clients.get(target.address).connect(
+                DEATH_CHECK_TIMEOUT_S
+            )
+        except TargetError as error:
+            self.log.info("target_died", target=target.target_id, detail=error.detail)
+            return True
+        connection.close()
+        return False
--- a/src/laburnumpitch/relay/relay_api.py
+++ b/src/laburnumpitch/relay/relay_api.py
@@ -66,8 +66,7 @@
         Raises:
             LaburnumpitchError: If it is not allowed.
         """
-        fleet_view = self.services.fleet_view
-        configuration = fleet_view.configuration
+        configuration = self.services.fleet_view.configuration
         if configuration is None:
             raise NoLeaseError("no configuration yet")
         metadata = self.services.translator.read_request(request)
@@ -83,8 +82,7 @@
         admitted = AdmittedRequest(
             request, metadata, route, service, organisation, configuration.version
         )
-        if fleet_view.quarantined and admitted.fingerprint in fleet_view.quarantined:
-            raise QuarantinedError("this request crashed targets before")
+        self.services.crash_reports.check(admitted)
         self.services.retry_limiter.record_request(service)
         self.services.metrics.count("request.accepted")
         return admitted
@@ -102,10 +100,10 @@
 
         503 states that the request has not run; it is chosen only if that is certain.
         """
-        if isinstance(error, QuarantinedError):
-            return QUARANTINE_STATUS
         if run is not None and run.may_have_run:
             return 504 if run.remaining_s <= 0 else 502
+        if isinstance(error, QuarantinedError):
+            return QUARANTINE_STATUS
         if run is not None and error.status >= 500:
             return 503
         return error.status
--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -18,6 +18,7 @@
 from .answer_checks import (
     MAX_ANSWER_BYTES,
     MAX_STREAM_BYTES,
+    NOT_RUN_STATUSES,
     check_answer,
     raise_not_run,
 )
@@ -38,10 +39,6 @@
 """Number of targets that may reject a request or be unreachable before the request is
 refused."""
 
-NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
-"""Statuses that tell a client that its request has not run. A target's own answer with
-one of them is not passed on, unless the target confirms that it did not run."""
-
 MAX_READ_SHARE = 0.5
 """Share of the remaining time for an answer of unknown length, while another target can
 be tried."""
@@ -136,6 +133,7 @@
             await self.handle_answer(target, answer)
             ended_s = services.get_time_s()
             services.statistics.record_success(target, ended_s - sent_s)
+            services.crash_reports.record_completed(self.admitted)
             if self.first_event_s is not None:
                 tokens = self.admitted.metadata.output_tokens
                 duration_s = ended_s - max(sent_s, self.first_event_s)
@@ -206,15 +204,16 @@
 
         Raises:
             DeadlineExceededError: If the deadline has passed.
+            QuarantinedError: If the request crashes targets, as is known by now.
         """
+        admitted = self.admitted
         if self.remaining_s <= 0:
             raise DeadlineExceededError("the deadline passed before sending")
-        admitted = self.admitted
-        dispatcher = self.services.dispatcher
+        self.services.crash_reports.check(admitted)
         version = None
         if self.route.has_context:
             stats = self.services.statistics.get(target.target_id)
-            version = dispatcher.catalog.find_weight_version(
+            version = self.services.dispatcher.catalog.find_weight_version(
                 target, stats, admitted.metadata.model
             )
             planner = self.services.planner
@@ -391,7 +390,8 @@
         self.may_have_run = True
         self.possible_runs += 1
         if error.has_died:
-            services.report_death(self.admitted, target)
+            has_begun = not self.is_prefill_pending
+            services.crash_reports.start_report(self.admitted, target, has_begun)
         self.stream.discard_pending()
         if self.has_retry_left() and services.try_spend_retry(self.admitted.service):
             return
--- a/src/laburnumpitch/relay/services.py
+++ b/src/laburnumpitch/relay/services.py
@@ -2,27 +2,24 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
-from typing import Any
 
-from ..errors import LaburnumpitchError
+from ..errors import TargetError
 from ..fleet.fleet_view import FleetView
 from ..fleet.leader_client import LeaderClient
-from ..fleet.messages import TargetDied, TargetRecord, TargetUnreachable
+from ..fleet.messages import TargetRecord, TargetUnreachable
 from ..logging import get_logger
 from ..metrics import Metrics
 from ..transport.http_client import HttpClientPool
 from ..transport.http_server import Headers
 from .context_planner import ContextPlanner
+from .crash_reports import CrashReports
 from .dispatcher import Dispatcher
+from .leader_notices import LeaderNotices
 from .request import AdmittedRequest, Translator
 from .retry_limiter import RetryLimiter
 from .target_statistics import TargetStatistics
 
-NOTICE_TIMEOUT_S = 1.5
-"""Timeout of sending a notice to the leader."""
-
 NOTICE_INTERVAL_S = 0.7
 """Least time between two notices that the same target is unreachable."""
 
@@ -60,21 +57,22 @@
         self.statistics = statistics
         self.translator = translator
         self.retry_limiter = retry_limiter
-        self.leader_client = leader_client
         self.metrics = metrics
         self.get_time_s = get_time_s
         self.clients = HttpClientPool()
+        self.notices = LeaderNotices(leader_client)
+        self.crash_reports = CrashReports(
+            fleet_view, self.clients, self.notices, get_time_s
+        )
         self.notified_s: dict[str, float] = {}
         """When the leader was last notified that a target is unreachable."""
-        self.notice_tasks: set[asyncio.Task[Any]] = set()
         self.log = get_logger()
         fleet_view.on_change.append(self.retain_clients)
 
     def close(self) -> None:
         """Close the connections to targets and cancel pending notices."""
         self.clients.close()
-        for task in list(self.notice_tasks):
-            task.cancel()
+        self.notices.close()
 
     def retain_clients(self) -> None:
         """Close idle connections to addresses that no target has any more."""
@@ -106,7 +104,7 @@
         outcome: str,
         admitted: AdmittedRequest,
         target: TargetRecord,
-        error: LaburnumpitchError,
+        error: TargetError,
     ) -> None:
         """Log the outcome of sending a request to one target."""
         stats = self.statistics.get(target.target_id)
@@ -132,25 +130,4 @@
         ):
             return
         self.notified_s[target.target_id] = now_s
-        self.start_notice(TargetUnreachable(target.target_id))
-
-    def start_notice(self, notice: TargetDied | TargetUnreachable) -> None:
-        """Send a notice to the leader in the background."""
-        task = asyncio.create_task(self.send_notice(notice))
-        self.notice_tasks.add(task)
-        task.add_done_callback(self.notice_tasks.discard)
-
-    def report_death(self, admitted: AdmittedRequest, target: TargetRecord) -> None:
-        """Notify the leader that a target died while it ran a request."""
-        self.start_notice(
-            TargetDied(admitted.fingerprint, target.target_id, target.born_ms)
-        )
-
-    async def send_notice(self, notice: TargetDied | TargetUnreachable) -> None:
-        """Send a notice to the leader."""
-        try:
-            await self.leader_client.call(notice, NOTICE_TIMEOUT_S)
-        except LaburnumpitchError as error:
-            self.log.info(
-                "notice_untold", notice=type(notice).__name__, code=error.code
-            )
+        self.notices.start(TargetUnreachable(target.target_id))
--- /dev/null
+++ b/tests/relay/test_crash_reports.py
@@ -0,0 +1,108 @@
+"""Pieces of prompts that crash targets, as a node reports and refuses them."""
+
+from __future__ import annotations
+
+from laburnumpitch.fleet.messages import PiecesCompleted, TargetDied
+
+from .relay_case import Crash, RelayCase, make_answer
+from .test_relay import BROKEN_STREAM, COMPLETE_STREAM, RESUMED_STREAM
+
+PROMPT = "first:10,deadly:20,own:5"
+SHARED_PIECES = ["first", "deadly"]
+
+
+async def list_reported_pieces(case: RelayCase) -> list[list[str]]:
+    """Return the pieces of each death that was reported."""
+    await case.wait_notices()
+    return [n.pieces for n in case.notices if isinstance(n, TargetDied)]
+
+
+class DeathReportTest(RelayCase):
+    """What a node reports when a connection to a target breaks."""
+
+    scenarios = [
+        ("unanswered", {"script": Crash(), "reported": [SHARED_PIECES]}),
+        ("answer_begun", {"script": Crash(BROKEN_STREAM), "reported": [[]]}),
+        ("connection_broken", {"script": BROKEN_STREAM, "reported": []}),
+    ]
+
+    def test_report(self) -> None:
+        """A target that accepts no connection died; unanswered pieces may be why."""
+
+        async def scenario() -> None:
+            await self.send_request("resumed", prefix_hash=PROMPT)
+            self.assertEqual(self.reported, await list_reported_pieces(self))
+
+        rest = RESUMED_STREAM if self.script != Crash() else COMPLETE_STREAM
+        self.run_relay([[self.script], [rest]], scenario)
+
+
+class CompletedReportTest(RelayCase):
+    """Answers that clear pieces."""
+
+    def test_suspect_is_cleared(self) -> None:
+        """A complete answer on a suspect piece is reported."""
+
+        async def scenario() -> None:
+            self.services.fleet_view.suspect_pieces = frozenset({"first", "other"})
+            await self.send_request("resumed", prefix_hash=PROMPT)
+            await self.wait_notices()
+            self.assertEqual([PiecesCompleted(["first"])], self.notices)
+
+        self.run_relay([[COMPLETE_STREAM]], scenario)
+
+    def test_completed_piece_is_no_suspect(self) -> None:
+        """A piece with a complete answer a moment before is not reported."""
+
+        async def scenario() -> None:
+            await self.send_request("resumed", prefix_hash="first:10,own:5")
+            await self.send_request("resumed", prefix_hash=PROMPT)
+            self.assertEqual([["deadly"]], await list_reported_pieces(self))
+
+        scripts = [[COMPLETE_STREAM, Crash()], [COMPLETE_STREAM]]
+        self.run_relay(scripts, scenario)
+
+
+class QuarantinedPieceTest(RelayCase):
+    """Requests of one kind kept crashing targets, one after the other."""
+
+    def test_new_request(self) -> None:
+        """Another request with the piece is refused as not run; others are served."""
+
+        async def scenario() -> None:
+            self.services.fleet_view.quarantined_pieces = frozenset({"deadly"})
+            status, _, body = await self.send_request("resumed", prefix_hash=PROMPT)
+            self.assertEqual((503, b"quarantined"), (status, body))
+            self.assertEqual([0], self.count_requests())
+            status, *_ = await self.send_request("resumed", prefix_hash="first:10,b:5")
+            self.assertEqual(200, status)
+
+        self.run_relay([[COMPLETE_STREAM]], scenario)
+
+    def test_last_piece(self) -> None:
+        """The last piece belongs to one request and is never the cause."""
+
+        async def scenario() -> None:
+            self.services.fleet_view.quarantined_pieces = frozenset({"own"})
+            status, *_ = await self.send_request("resumed", prefix_hash=PROMPT)
+            self.assertEqual(200, status)
+
+        self.run_relay([[COMPLETE_STREAM]], scenario)
+
+    def test_repeat(self) -> None:
+        """A request that may have run is not sent again, and not called not run."""
+
+        async def scenario() -> None:
+            statistics = self.services.statistics
+            record_failure = statistics.record_failure
+
+            def quarantine(*args) -> None:
+                record_failure(*args)
+                self.services.fleet_view.quarantined_pieces = frozenset({"deadly"})
+
+            statistics.record_failure = quarantine
+            status, *_ = await self.send_request("read", prefix_hash=PROMPT)
+            self.assertEqual(502, status)
+            self.assertEqual([1, 0], self.count_requests())
+
+        self.run_relay([[Crash()], [make_answer()]], scenario)
