Take a stream that ends inside an event for broken off

What callers would see: a stream that comes without a length or chunks and ends with its connection looked complete though its engine had broken it off inside an event, and was not resumed elsewhere. Cause: the end of the body alone counted as the end of the stream, and only resumable streams were split into events at all. Change: all streams are split; one that ends with an incomplete event counts as broken off, whatever its framing, and is resumed or cut.

--- a/src/laburnumpitch/relay/stream_relay.py
+++ b/src/laburnumpitch/relay/stream_relay.py
@@ -4,6 +4,7 @@
 
 from collections.abc import AsyncIterator
 
+from ..errors import TargetError
 from ..transport.http_client import HttpAnswer
 from ..transport.http_server import Headers, Responder
 from .event_stream import EventSplitter
@@ -41,19 +42,20 @@
         resumable stream goes on.
 
         Raises:
-            TargetError: If the stream breaks before its end.
+            TargetError: If the stream breaks before its end, or ends inside an event.
         """
         async for data in answer.iterate_body():
             last_event_id = self.last_event_id
-            part = self.splitter.feed(data) if self.is_resumable else data
+            complete_events = self.splitter.feed(data)
+            part = complete_events if self.is_resumable else data
             if part:
                 await self.start(answer.status, headers)
                 await self.responder.write(part)
             if not self.is_resumable or self.last_event_id != last_event_id:
                 yield
+        if self.splitter.pending.strip():
+            raise TargetError("the stream ended inside an event", has_died=True)
         await self.start(answer.status, headers)
-        if self.splitter.pending:
-            await self.responder.write(self.splitter.pending)
         await self.responder.finish()
 
     async def start(self, status: int, headers: Headers) -> None:
