--- a/src/laburnumpitch/fleet/voter_set.py
+++ b/src/laburnumpitch/fleet/voter_set.py
@@ -86,16 +86,17 @@
             await self.remove(replica, lost_voters[0])
 
     async def remove(self, replica: Replica, member: Member) -> None:
-        """Remove a member."""
-        self.log.warning(
-            "member_removed",
-            replica=member.replica_id,
-            voter=member.is_voter,
-            silence_s=round(get_silence_s(replica, member), 2),
-            voters=len(replica.core.voters),
-        )
+        """Remove a member, unless another change is not committed yet."""
+        silence_s = get_silence_s(replica, member)
         others = [other for other in replica.core.members if other != member]
-        await replica.propose_membership_change(others)
+        if await replica.propose_membership_change(others):
+            self.log.warning(
+                "member_removed",
+                replica=member.replica_id,
+                voter=member.is_voter,
+                silence_s=round(silence_s, 2),
+                voters=len(replica.core.voters),
+            )
 
     def find_lost_voters(self, replica: Replica) -> list[Member]:
         """Return the voters that have not answered this leader for too long."""
