--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -37,6 +37,9 @@
 WEIGHT_LOAD_S = 0.3
 """Duration of a weight load."""
 
+RESTART_S = 0.5
+"""Time from a crash by a request until the target is back."""
+
 EVENT_COUNT_LIMIT = 12
 """Exclusive upper bound of the number of events in a stream."""
 
@@ -132,6 +135,10 @@
         """Whether it refuses all requests as if it were full, at any load."""
         self.failure_share = 0.0
         """Share of requests that it runs and answers with status 500."""
+        self.deadly_piece = ""
+        """Piece of a prompt that crashes it as it begins an answer; empty for none."""
+        self.crash_count = 0
+        """Number of its crashes by requests."""
         self.version = 1
         self.is_running = False
         self.tasks: set[asyncio.Task] = set()
@@ -323,11 +330,27 @@
         attempt = request.get_header("attempt-id")
         first = int(request.get_header("last-event-id") or 0) + 1
         await responder.start(200, [*headers, ("content-type", "text/event-stream")])
+        if self.has_deadly_piece(request):
+            self.crash_task = asyncio.create_task(self.crash_and_restart())
+            await asyncio.sleep(RESTART_S)
         for number in range(first, get_event_count(attempt) + 1):
             await asyncio.sleep(EVENT_INTERVAL_S * self.random.uniform(0.5, 2.0))
             await responder.write(make_event(attempt, number).encode())
         await responder.finish()
 
+    def has_deadly_piece(self, request: HttpRequest) -> bool:
+        """Whether a request's prompt has the piece that crashes the target."""
+        entries = request.get_header("prefix-hash").split(",")
+        pieces = {entry.partition(":")[0] for entry in entries}
+        return bool(self.deadly_piece) and self.deadly_piece in pieces
+
+    async def crash_and_restart(self) -> None:
+        """Crash, and start again as a new incarnation."""
+        self.crash_count += 1
+        await self.crash()
+        await asyncio.sleep(RESTART_S)
+        await self.start()
+
     def record_context_use(self, request: HttpRequest) -> None:
         """Keep the request's context, and record violations of its reuse.
 
