Replace nodes with a disk in the soak, and use connections until their node is gone

The soak never replaced a VM for good, so it could not see that a lost voter stays one; and its clients left a node with its readiness, while callers use an open connection until the process is gone.

--- a/harness/soak/clients.py
+++ b/harness/soak/clients.py
@@ -115,6 +115,22 @@
         ready = [h for h in self.fleet.hosts if self.failed_probes.get(h, 0) < 2]
         return ready or self.fleet.hosts
 
+    def list_hosts(self, is_new_connection: bool) -> list[str]:
+        """Return the nodes that a request may go to.
+
+        A client uses an open connection until its node's process is gone, also after
+        the node has left the rotation.
+        """
+        ready_hosts = self.list_ready_hosts()
+        if is_new_connection:
+            return ready_hosts
+        connected_hosts = [
+            host
+            for host, clients in self.idle_clients.items()
+            if clients and host in self.fleet.nodes
+        ]
+        return connected_hosts or ready_hosts
+
     async def run(self, requests_per_s: float) -> None:
         """Send requests at random intervals until cancelled."""
         while True:
@@ -133,7 +149,8 @@
 
     def make_record(self) -> tuple[RequestRecord, str, str]:
         """Return a new request's record, path and API key."""
-        host = self.random.choice(self.list_ready_hosts())
+        is_new_connection = self.random.random() < 0.5
+        host = self.random.choice(self.list_hosts(is_new_connection))
         node = self.fleet.nodes[host]
         newest = len(self.operator.configuration_changes)
         introduced_version = newest - self.random.randrange(
@@ -159,7 +176,7 @@
             process_id,
             time.monotonic(),
             introduced_version,
-            self.random.random() < 0.5,
+            is_new_connection,
         )
         return record, path or f"/{route}/x?q={self.random.randrange(9)}", key
 
--- a/harness/soak/fault_injector.py
+++ b/harness/soak/fault_injector.py
@@ -70,6 +70,7 @@
             self.freeze_node,
             self.stop_node,
             self.wipe_node,
+            self.replace_node,
             self.kill_disk_nodes,
             self.change_seeds,
             self.crash_target,
@@ -139,6 +140,20 @@
         if host := self.reserve(self.fleet.hosts[: self.fleet.disk_node_count]):
             await self.disrupt_node(host, lambda: self.kill_and_restart(host, True))
 
+    async def replace_node(self) -> None:
+        """Kill a node with a disk for good; an empty one at another address follows."""
+        if not self.fleet.spare_hosts:
+            return
+        if host := self.reserve(self.fleet.hosts[: self.fleet.disk_node_count]):
+            await self.disrupt_node(host, lambda: self.kill_and_replace(host))
+
+    async def kill_and_replace(self, host: str) -> None:
+        """Kill a node, and start another one with an empty disk."""
+        self.record_event("remove", host)
+        await asyncio.to_thread(self.fleet.kill, host)
+        await asyncio.sleep(self.choose_duration_s())
+        self.record_event("add", self.fleet.replace(host))
+
     async def kill_and_restart(self, host: str, is_wiped: bool) -> None:
         """Kill a node, empty its disk if `is_wiped`, and start it again."""
         self.record_event("wipe" if is_wiped else "kill", host)
--- a/harness/soak/fleet.py
+++ b/harness/soak/fleet.py
@@ -17,6 +17,10 @@
 """Longest wait for a fleet's start; far more than a busy machine needs."""
 
 
+MAX_REPLACEMENTS = 20
+"""Maximum number of nodes that are replaced in a run."""
+
+
 def make_hosts(node_count: int) -> list[str]:
     """Return a loopback address for each node."""
     return [f"127.0.{4 + n // 250}.{1 + n % 250}" for n in range(node_count)]
@@ -61,7 +65,8 @@
     """
 
     def __init__(self, node_count: int, disk_node_count: int, folder: Path) -> None:
-        self.hosts = make_hosts(node_count)
+        hosts = make_hosts(node_count + MAX_REPLACEMENTS)
+        self.hosts, self.spare_hosts = hosts[:node_count], hosts[node_count:]
         self.disk_node_count = disk_node_count
         self.folder = folder
         self.ports = [reserve_port() for _ in range(5)]
@@ -141,6 +146,20 @@
         """Remove the data of a node that is not running."""
         shutil.rmtree(self.folder / f"data-{host}", ignore_errors=True)
 
+    def replace(self, host: str) -> str:
+        """Replace a node that is not running by an empty one at another address.
+
+        Returns:
+            The new node's host.
+        """
+        new_host = self.spare_hosts.pop(0)
+        self.hosts[self.hosts.index(host)] = new_host
+        path = self.folder / f"{new_host}.toml"
+        self.nodes[new_host] = NodeProcess(new_host, path, self.folder)
+        del self.nodes[host]
+        self.restart(new_host)
+        return new_host
+
     def freeze(self, host: str) -> None:
         """Suspend a node's process."""
         self.record_fault(host)
