Find a crashing piece sooner, and send no suspect to a second target

Cause: the leader looked only each 0.3 s, waited 0.5 s for complete answers, and each crashing request was repeated at a second engine. Change: it looks with the next call of any node once a piece is due, waits 0.3 s, and nodes do not repeat a request with a suspect piece on which they saw no complete answer lately.

--- a/src/laburnumpitch/fleet/fleet_publisher.py
+++ b/src/laburnumpitch/fleet/fleet_publisher.py
@@ -193,6 +193,8 @@
             self.log.info("node_follows", host=call.node.host, term=self.term)
         self.subscribers[call.node.host] = subscriber
         self.loads.replace_report(call.node.host, call.loads)
+        if self.quarantine.attribution.due_s <= self.get_time_s():
+            self.update_quarantine()
         self.notify_contact()
         deadline_s = self.get_time_s() + hold_s
         while not self.has_update(call):
@@ -289,7 +291,7 @@
                 continue
             self.update_assignments()
             self.drop_stale_loads()
-            self.quarantine.update(self.get_time_s())
+            self.update_quarantine()
             self.update_facts()
             if self.is_settled and self.targets.check_announcements(self.get_time_s()):
                 self.publish()
@@ -373,6 +375,11 @@
         self.quarantine.record_death(notice, self.get_time_s())
         self.update_facts()
 
+    def update_quarantine(self) -> None:
+        """Publish pieces that are quarantined or released now."""
+        if self.quarantine.update(self.get_time_s()):
+            self.update_facts()
+
     def handle_completed_pieces(self, notice: PiecesCompleted) -> None:
         """Clear pieces on which a target has completed an answer."""
         self.check_term()
--- a/src/laburnumpitch/fleet/quarantine.py
+++ b/src/laburnumpitch/fleet/quarantine.py
@@ -74,8 +74,13 @@
         """Clear pieces on which a target has completed an answer."""
         self.attribution.record_completed(pieces)
 
-    def update(self, now_s: float) -> None:
-        """Quarantine pieces that are proven to crash targets, and release old ones."""
+    def update(self, now_s: float) -> bool:
+        """Quarantine pieces that are proven to crash targets, and release old ones.
+
+        Returns:
+            Whether the quarantined pieces have changed.
+        """
+        former_pieces = list(self.pieces)
         for piece, since_s in list(self.pieces.items()):
             if now_s - since_s > PIECE_QUARANTINE_S:
                 self.log.info("piece_released", piece=piece)
@@ -85,6 +90,7 @@
             self.pieces[piece] = now_s
         while len(self.pieces) > MAX_QUARANTINED:
             del self.pieces[next(iter(self.pieces))]
+        return list(self.pieces) != former_pieces
 
     def list_suspect_pieces(self) -> list[str]:
         """Return the pieces of which nodes have to report a completed answer."""
--- a/src/laburnumpitch/policy/completed_pieces.py
+++ b/src/laburnumpitch/policy/completed_pieces.py
@@ -31,9 +31,12 @@
 
         These are the ones without a complete answer lately, or all if each has one.
         """
-        suspects = [
+        return self.select_incomplete(pieces, now_s) or list(pieces)
+
+    def select_incomplete(self, pieces: Iterable[str], now_s: float) -> list[str]:
+        """Return the pieces without a complete answer lately."""
+        return [
             piece
             for piece in pieces
             if now_s - self.completed_s.get(piece, float("-inf")) > MEMORY_S
         ]
-        return suspects or list(pieces)
--- a/src/laburnumpitch/policy/crash_attribution.py
+++ b/src/laburnumpitch/policy/crash_attribution.py
@@ -16,7 +16,7 @@
 SUSPECT_CRASHES = 2
 """Crashes from which on nodes report completed answers on a piece."""
 
-CONFIRM_S = 0.5
+CONFIRM_S = 0.3
 """Time for these reports, from the time that a piece is a suspect."""
 
 JOINT_FAILURE_S = 0.1
@@ -44,6 +44,13 @@
     crashes: set[Crash] = field(default_factory=set)
     suspect_since_s: float = float("inf")
 
+    @property
+    def due_s(self) -> float:
+        """Time from which on the piece is proven; infinite with too few crashes."""
+        if len(self.crashes) < MIN_CRASHES:
+            return float("inf")
+        return self.suspect_since_s + CONFIRM_S
+
 
 class CrashAttribution:
     """Attributes crashes of targets to pieces of prompts."""
@@ -54,6 +61,8 @@
         """Crash by the target's incarnation, oldest first."""
         self.explained: set[Crash] = set()
         """Crashes whose cause is known."""
+        self.due_s = float("inf")
+        """Time from which on a piece may be proven."""
 
     def record_crash(
         self, incarnation: str, pieces: Sequence[str], now_s: float
@@ -74,6 +83,7 @@
             suspicion.crashes.add(crash)
             if len(suspicion.crashes) >= SUSPECT_CRASHES:
                 suspicion.suspect_since_s = min(suspicion.suspect_since_s, now_s)
+            self.due_s = min(self.due_s, suspicion.due_s)
 
     def find_crash(self, incarnation: str, now_s: float) -> Crash:
         """Return the crash in which a target's incarnation ended."""
@@ -114,10 +124,11 @@
         candidates = [
             (len(suspicion.crashes), suspicion.position, piece)
             for piece, suspicion in self.suspicions.items()
-            if len(suspicion.crashes) >= MIN_CRASHES
-            and now_s - suspicion.suspect_since_s >= CONFIRM_S
+            if suspicion.due_s <= now_s
         ]
         if not candidates:
+            due_times_s = [suspicion.due_s for suspicion in self.suspicions.values()]
+            self.due_s = min(due_times_s, default=float("inf"))
             return None
         proven = max(candidates)[2]
         self.explain(set(self.suspicions.pop(proven).crashes))
--- a/src/laburnumpitch/relay/crash_reports.py
+++ b/src/laburnumpitch/relay/crash_reports.py
@@ -60,6 +60,15 @@
             if piece.piece_id in view.quarantined_pieces:
                 raise QuarantinedError(f"piece {piece.piece_id} crashed targets before")
 
+    def is_suspect(self, admitted: AdmittedRequest) -> bool:
+        """Whether a request may crash another target, and must not be repeated.
+
+        A suspect piece is cleared here by a complete answer lately.
+        """
+        pieces = {piece.piece_id for piece in admitted.metadata.shared_pieces}
+        suspects = pieces & self.fleet_view.suspect_pieces
+        return bool(self.completed.select_incomplete(suspects, self.get_time_s()))
+
     def record_completed(self, admitted: AdmittedRequest) -> None:
         """Record a complete answer, which clears the pieces of its prompt."""
         pieces = [piece.piece_id for piece in admitted.metadata.shared_pieces]
--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -301,9 +301,8 @@
 
     async def deliver(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete answer to the client."""
-        await self.responder.send(
-            status, self.services.make_answer_headers(headers), body
-        )
+        answer_headers = self.services.make_answer_headers(headers)
+        await self.responder.send(status, answer_headers, body)
 
     async def deliver_fallback(self) -> None:
         """Send the error answer that was kept as fallback."""
@@ -345,6 +344,7 @@
             self.is_retry_allowed()
             and self.possible_runs < self.route.max_targets
             and self.remaining_s > 0
+            and not self.services.crash_reports.is_suspect(self.admitted)
         )
 
     def handle_rejection(self, target: TargetRecord, error: TargetRefusedError) -> None:
--- a/tests/relay/test_crash_reports.py
+++ b/tests/relay/test_crash_reports.py
@@ -89,6 +89,30 @@
 
         self.run_relay([[COMPLETE_STREAM]], scenario)
 
+    def test_suspect_is_not_repeated(self) -> None:
+        """A suspect piece crashes one target for each request, not two."""
+
+        async def scenario() -> None:
+            self.services.fleet_view.suspect_pieces = frozenset(SHARED_PIECES)
+            await self.send_request("read", prefix_hash="first:10,own:5")
+            status, *_ = await self.send_request("read", prefix_hash=PROMPT)
+            self.assertEqual(502, status)
+            self.assertEqual([2, 0], self.count_requests())
+
+        self.run_relay([[make_answer(), Crash()], [make_answer()]], scenario)
+
+    def test_neighbour_is_repeated(self) -> None:
+        """A suspect piece that was answered here a moment before is no reason."""
+
+        async def scenario() -> None:
+            self.services.fleet_view.suspect_pieces = frozenset({"first"})
+            await self.send_request("read", prefix_hash="first:10,own:5")
+            status, *_ = await self.send_request("read", prefix_hash="first:10,own:6")
+            self.assertEqual(200, status)
+            self.assertEqual([2, 1], self.count_requests())
+
+        self.run_relay([[make_answer(), Crash()], [make_answer()]], scenario)
+
     def test_repeat(self) -> None:
         """A request that may have run is not sent again, and not called not run."""
 
