Publish quarantines at a limited rate while engines crash in quick succession

Cause: each notice of a death published the facts to all nodes if it made a piece a suspect, and every publication wakes every node's held call. Change: at most one publication each 0.1 s, with the next call of any node, and at most 200 suspects, those with the most crashes first.

--- a/src/laburnumpitch/fleet/fleet_publisher.py
+++ b/src/laburnumpitch/fleet/fleet_publisher.py
@@ -63,6 +63,10 @@
 """Time after an election before the leader makes assignments, so that nodes can
 subscribe first."""
 
+QUARANTINE_INTERVAL_S = 0.1
+"""Least time between two publications of quarantines. Targets may crash in quick
+succession, each with many requests, and every publication goes to all nodes."""
+
 ASSIGNEE_TIMEOUT_S = 1.4
 """Time since a node's last contact after which its assignments move to other nodes; by
 then it frees no parts of stores any more (`FREE_CONTACT_S`, `FREE_VALIDITY_MS`)."""
@@ -128,6 +132,7 @@
         self.subscribers: dict[str, SubscriberState] = {}
         known_facts = self.get_facts()
         self.quarantine = Quarantine(known_facts, self.started_s)
+        self.quarantine_updated_s = self.started_s
         self.assignments = dict(known_facts.keepers) if known_facts else {}
         self.loads = LoadTotals()
         self.facts: FleetFacts | None = None
@@ -193,8 +198,7 @@
             self.log.info("node_follows", host=call.node.host, term=self.term)
         self.subscribers[call.node.host] = subscriber
         self.loads.replace_report(call.node.host, call.loads)
-        if self.quarantine.attribution.due_s <= self.get_time_s():
-            self.update_quarantine()
+        self.update_quarantine()
         self.notify_contact()
         deadline_s = self.get_time_s() + hold_s
         while not self.has_update(call):
@@ -373,12 +377,17 @@
         """Record a target that died while it had a request."""
         self.check_term()
         self.quarantine.record_death(notice, self.get_time_s())
-        self.update_facts()
+        self.update_quarantine()
 
     def update_quarantine(self) -> None:
-        """Publish pieces that are quarantined or released now."""
-        if self.quarantine.update(self.get_time_s()):
-            self.update_facts()
+        """Publish changed quarantines and suspects, at a limited rate."""
+        now_s = self.get_time_s()
+        is_idle = not self.quarantine.has_suspicions and not self.quarantine.pieces
+        if is_idle or now_s < self.quarantine_updated_s + QUARANTINE_INTERVAL_S:
+            return
+        self.quarantine_updated_s = now_s
+        self.quarantine.update(now_s)
+        self.update_facts()
 
     def handle_completed_pieces(self, notice: PiecesCompleted) -> None:
         """Clear pieces on which a target has completed an answer."""
--- a/src/laburnumpitch/fleet/quarantine.py
+++ b/src/laburnumpitch/fleet/quarantine.py
@@ -18,6 +18,9 @@
 """Maximum number of requests whose target deaths are counted; the oldest ones are
 dropped."""
 
+MAX_SUSPECT_PIECES = 200
+"""Maximum number of suspect pieces that are published."""
+
 PIECE_QUARANTINE_S = 600.0
 """Time for which requests with a piece that crashed targets are refused."""
 
@@ -74,13 +77,13 @@
         """Clear pieces on which a target has completed an answer."""
         self.attribution.record_completed(pieces)
 
-    def update(self, now_s: float) -> bool:
-        """Quarantine pieces that are proven to crash targets, and release old ones.
+    @property
+    def has_suspicions(self) -> bool:
+        """Whether a piece was unanswered when a target died lately."""
+        return bool(self.attribution.suspicions)
 
-        Returns:
-            Whether the quarantined pieces have changed.
-        """
-        former_pieces = list(self.pieces)
+    def update(self, now_s: float) -> None:
+        """Quarantine pieces that are proven to crash targets, and release old ones."""
         for piece, since_s in list(self.pieces.items()):
             if now_s - since_s > PIECE_QUARANTINE_S:
                 self.log.info("piece_released", piece=piece)
@@ -90,8 +93,10 @@
             self.pieces[piece] = now_s
         while len(self.pieces) > MAX_QUARANTINED:
             del self.pieces[next(iter(self.pieces))]
-        return list(self.pieces) != former_pieces
 
     def list_suspect_pieces(self) -> list[str]:
-        """Return the pieces of which nodes have to report a completed answer."""
-        return self.attribution.list_suspects()
+        """Return the pieces of which nodes have to report a completed answer.
+
+        Only the ones with the most crashes are listed if there are many.
+        """
+        return self.attribution.list_suspects()[:MAX_SUSPECT_PIECES]
--- a/src/laburnumpitch/policy/crash_attribution.py
+++ b/src/laburnumpitch/policy/crash_attribution.py
@@ -61,8 +61,6 @@
         """Crash by the target's incarnation, oldest first."""
         self.explained: set[Crash] = set()
         """Crashes whose cause is known."""
-        self.due_s = float("inf")
-        """Time from which on a piece may be proven."""
 
     def record_crash(
         self, incarnation: str, pieces: Sequence[str], now_s: float
@@ -83,7 +81,6 @@
             suspicion.crashes.add(crash)
             if len(suspicion.crashes) >= SUSPECT_CRASHES:
                 suspicion.suspect_since_s = min(suspicion.suspect_since_s, now_s)
-            self.due_s = min(self.due_s, suspicion.due_s)
 
     def find_crash(self, incarnation: str, now_s: float) -> Crash:
         """Return the crash in which a target's incarnation ended."""
@@ -108,12 +105,16 @@
             self.suspicions.pop(piece, None)
 
     def list_suspects(self) -> list[str]:
-        """Return the pieces of which a completed answer has to be reported."""
-        return [
-            piece
+        """Return the pieces of which a completed answer has to be reported.
+
+        Pieces with more crashes come first.
+        """
+        suspects = [
+            (-len(suspicion.crashes), piece)
             for piece, suspicion in self.suspicions.items()
             if len(suspicion.crashes) >= SUSPECT_CRASHES
         ]
+        return [piece for _, piece in sorted(suspects)]
 
     def pop_proven(self, now_s: float) -> str | None:
         """Return a piece that is proven to crash targets, once; None without one.
@@ -127,8 +128,6 @@
             if suspicion.due_s <= now_s
         ]
         if not candidates:
-            due_times_s = [suspicion.due_s for suspicion in self.suspicions.values()]
-            self.due_s = min(due_times_s, default=float("inf"))
             return None
         proven = max(candidates)[2]
         self.explain(set(self.suspicions.pop(proven).crashes))
--- a/tests/fleet/test_fleet_publisher.py
+++ b/tests/fleet/test_fleet_publisher.py
@@ -10,13 +10,19 @@
 from laburnumpitch.fleet.fleet_publisher import (
     MAX_HOLD_S,
     MIN_HOLD_S,
+    QUARANTINE_INTERVAL_S,
     FleetPublisher,
     SubscriberState,
 )
 from laburnumpitch.fleet.fleet_view import LEADER_TIMEOUT_S
-from laburnumpitch.fleet.messages import Follow, NodeRecord
+from laburnumpitch.fleet.messages import Follow, NodeRecord, TargetDied
 
 NODES = 12
+ENGINES = 30
+REQUESTS = 40
+"""Requests that an engine has when it crashes."""
+
+CRASH_INTERVAL_S = 0.04
 TERM = 3
 
 
@@ -138,3 +144,32 @@
 
         self.assertEqual(self.hold_s, asyncio.run(run()))
         self.assertLess(2 * self.hold_s, LEADER_TIMEOUT_S)
+
+
+class CrashStormTest(testtools.TestCase):
+    """Many engines crash in quick succession, each with many requests."""
+
+    def test_publications_are_few(self) -> None:
+        """Nodes are not woken for each death; the last state is published."""
+
+        async def run() -> None:
+            now_s = 0.0
+            publisher = make_publisher()
+            publisher.get_time_s = lambda: now_s
+            publisher.reset(TERM)
+            first_sequence = publisher.update_facts()
+            for engine in range(ENGINES):
+                for request in range(REQUESTS):
+                    now_s += CRASH_INTERVAL_S / REQUESTS
+                    # A repeated request waits at the engine that crashes four later.
+                    pieces = [f"p{engine // 8}-{engine % 4}-{request}", "deadly"]
+                    notice = TargetDied(f"{engine}/{request}", f"t{engine}", 1, pieces)
+                    publisher.handle_target_death(notice)
+            published = publisher.facts_sequence - first_sequence
+            max_count = ENGINES * CRASH_INTERVAL_S / QUARANTINE_INTERVAL_S + 1
+            self.assertIn(published, range(1, int(max_count) + 1))
+            now_s += QUARANTINE_INTERVAL_S
+            publisher.update_quarantine()
+            self.assertEqual(["deadly"], publisher.facts.quarantined_pieces)
+
+        asyncio.run(run())
