Let a new leader's changes wait for the nodes of the former one

What operators saw: a change that had been confirmed was not in force in time. Cause: a change waits for the leader's subscribers, and a new leader has none. It confirmed at once what no node but the voters had; nodes that took long to find it (0.8 s for each VM that does not answer) went on with the older configuration. The same call sent again after a lost answer was confirmed without any wait.

--- a/src/laburnumpitch/fleet/fleet_publisher.py
+++ b/src/laburnumpitch/fleet/fleet_publisher.py
@@ -9,7 +9,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 from ..control.replica import Replica
@@ -27,26 +26,15 @@
     TargetUnreachable,
 )
 from .quarantine import Quarantine
+from .subscriptions import MIN_HOLD_S, SubscriberState, Subscriptions
 from .target_table import TargetTable
 
-MIN_HOLD_S = 0.3
-"""Shortest time for which a `Follow` call waits for a change; limits the rate of calls
-when nothing changes."""
-
 MAX_HOLD_S = 0.6
 """The longest time, which is under half of `LEADER_TIMEOUT_S`."""
 
 MAX_FOLLOW_CALLS_PER_S = 220.0
 """Rate of calls at which the leader holds them for longer."""
 
-CONTACT_MARGIN_S = 0.7
-"""Time since the end of a held call after which a node counts as unreachable, so that
-no change waits for it."""
-
-CONFIRM_TIMEOUT_S = 0.55
-"""Time for the nodes to confirm a change; a target waits one second for the
-acknowledgement of its announcement, which includes this wait."""
-
 SETTLE_INTERVALS = 2.5
 """Announcement intervals after an election until the new leader has received an
 announcement of every live target."""
@@ -72,22 +60,6 @@
 then it frees no parts of stores any more (`FREE_CONTACT_S`, `FREE_VALIDITY_MS`)."""
 
 
-@dataclass
-class SubscriberState:
-    """A node that subscribes to this leader."""
-
-    node: NodeRecord
-    last_contact_s: float
-    confirmed_sequence: int
-    """Sequence of the newest change that the node is known to have."""
-    hold_s: float = MIN_HOLD_S
-    """Longest time until the node calls again."""
-
-    def is_live(self, now_s: float) -> bool:
-        """Whether the node has called lately enough to count as reachable."""
-        return now_s - self.last_contact_s <= self.hold_s + CONTACT_MARGIN_S
-
-
 class FleetPublisher:
     """Holds the leader's soft state of one term and sends its changes to the nodes.
 
@@ -119,9 +91,8 @@
         self.get_time_s = get_time_s
         self.log = get_logger()
         self.change_event = asyncio.Event()
-        self.contact_event = asyncio.Event()
-        """Set when a node calls. Held calls wait for `change_event` instead; otherwise
-        each call would wake all others."""
+        """Set when there is a change, for which calls of nodes are held."""
+        self.subscriptions = Subscriptions((), get_time_s)
         self.reset(-1)
 
     def reset(self, term: int) -> None:
@@ -129,11 +100,15 @@
         self.term = term
         self.started_s = self.get_time_s()
         self.targets = TargetTable(self.announce_interval_s)
-        self.subscribers: dict[str, SubscriberState] = {}
         known_facts = self.get_facts()
         self.quarantine = Quarantine(known_facts, self.started_s)
         self.quarantine_updated_s = self.started_s
         self.assignments = dict(known_facts.keepers) if known_facts else {}
+        self.subscriptions.close()
+        self.subscriptions = Subscriptions(
+            set(known_facts.hosts) - {known_facts.leader_host} if known_facts else (),
+            self.get_time_s,
+        )
         self.loads = LoadTotals()
         self.facts: FleetFacts | None = None
         self.facts_sequence = 0
@@ -151,15 +126,10 @@
             self.reset(self.replica.core.term)
 
     def notify_change(self) -> None:
-        """Wake every held call, and everything that waits for contacts."""
+        """Wake every held call, and everything that waits for calls of nodes."""
         self.change_event.set()
         self.change_event = asyncio.Event()
-        self.notify_contact()
-
-    def notify_contact(self) -> None:
-        """Wake everything that waits for calls of nodes."""
-        self.contact_event.set()
-        self.contact_event = asyncio.Event()
+        self.subscriptions.notify()
 
     @property
     def sequence(self) -> int:
@@ -194,12 +164,11 @@
         subscriber = SubscriberState(call.node, self.get_time_s(), 0, hold_s)
         if call.term == self.term:
             subscriber.confirmed_sequence = call.sequence
-        if call.node.host not in self.subscribers:
+        if call.node.host not in self.subscriptions.by_host:
             self.log.info("node_follows", host=call.node.host, term=self.term)
-        self.subscribers[call.node.host] = subscriber
         self.loads.replace_report(call.node.host, call.loads)
         self.update_quarantine()
-        self.notify_contact()
+        self.subscriptions.record(subscriber)
         deadline_s = self.get_time_s() + hold_s
         while not self.has_update(call):
             remaining_s = deadline_s - self.get_time_s()
@@ -225,7 +194,7 @@
         """
         if node.has_disk:
             return MIN_HOLD_S
-        nodes_s = len(self.subscribers) / MAX_FOLLOW_CALLS_PER_S
+        nodes_s = len(self.subscriptions.by_host) / MAX_FOLLOW_CALLS_PER_S
         return min(MAX_HOLD_S, max(MIN_HOLD_S, nodes_s))
 
     def has_update(self, call: Follow) -> bool:
@@ -255,36 +224,6 @@
             loads=self.loads.get_totals_of_others(call.node.host),
         )
 
-    async def wait_confirmed(self, sequence: int) -> bool:
-        """Wait until every reachable node has confirmed a change.
-
-        Returns:
-            Whether all have confirmed it within `CONFIRM_TIMEOUT_S`.
-        """
-        deadline_s = self.get_time_s() + CONFIRM_TIMEOUT_S
-        term = self.term
-        while self.term == term:
-            now_s = self.get_time_s()
-            pending_hosts = [
-                s.node.host
-                for s in self.subscribers.values()
-                if s.confirmed_sequence < sequence and s.is_live(now_s)
-            ]
-            remaining_s = deadline_s - self.get_time_s()
-            if not pending_hosts:
-                return True
-            if remaining_s <= 0:
-                self.log.info(
-                    "change_unconfirmed", sequence=sequence, late=pending_hosts[:5]
-                )
-                return False
-            try:
-                async with asyncio.timeout(remaining_s):
-                    await self.contact_event.wait()
-            except asyncio.TimeoutError:
-                continue
-        return False
-
     async def run(self) -> None:
         """Update the soft state at intervals while this node leads, until cancelled."""
         while True:
@@ -302,9 +241,9 @@
 
     def drop_stale_loads(self) -> None:
         """Remove the load reports of unreachable nodes."""
-        now_s = self.get_time_s()
+        live_hosts = set(self.subscriptions.list_live_hosts())
         for host in list(self.loads.reports_by_host):
-            if not self.subscribers[host].is_live(now_s):
+            if host not in live_hosts:
                 self.loads.remove_report(host)
 
     def handle_target_unreachable(self, notice: TargetUnreachable) -> None:
@@ -334,7 +273,7 @@
             return
         live_hosts = [
             host
-            for host, subscriber in sorted(self.subscribers.items())
+            for host, subscriber in sorted(self.subscriptions.by_host.items())
             if now_s - subscriber.last_contact_s < ASSIGNEE_TIMEOUT_S
             and subscriber.node.has_disk
         ]
@@ -354,19 +293,15 @@
         Returns:
             Sequence number of the newest facts.
         """
-        now_s = self.get_time_s()
         facts = FleetFacts(
             weights=dict(self.replica.state_machine.state.weights),
             members=self.replica.core.committed_members,
-            hosts=sorted(
-                host
-                for host, subscriber in self.subscribers.items()
-                if subscriber.is_live(now_s)
-            ),
+            hosts=self.subscriptions.list_live_hosts(),
             quarantined=list(self.quarantine.fingerprints),
             keepers=self.assignments,
             quarantined_pieces=list(self.quarantine.pieces),
             suspect_pieces=self.quarantine.list_suspect_pieces(),
+            leader_host=self.replica.get_leader_name(),
         )
         if facts != self.facts:
             self.facts = facts
--- a/src/laburnumpitch/fleet/leader_service.py
+++ b/src/laburnumpitch/fleet/leader_service.py
@@ -136,7 +136,7 @@
         if publisher.targets.apply_announcement(call.record, publisher.get_time_s()):
             self.log_target_change(call.record, previous.record if previous else None)
             publisher.notify_change()
-            await publisher.wait_confirmed(publisher.sequence)
+            await publisher.subscriptions.wait_confirmed(publisher.sequence)
             replica.require_leader()
         return AnnounceAnswer(self.announce_address)
 
@@ -160,7 +160,7 @@
         if publisher.targets.mark_gone(call.target_id, publisher.get_time_s()):
             self.log.info("target_gone", target=call.target_id)
             publisher.notify_change()
-            await publisher.wait_confirmed(publisher.sequence)
+            await publisher.subscriptions.wait_confirmed(publisher.sequence)
             replica.require_leader()
         return AnnounceAnswer(self.announce_address)
 
@@ -186,7 +186,11 @@
                 in_force=version,
                 bytes=len(packed),
             )
-            await publisher.wait_confirmed(publisher.publish())
+            publisher.publish()
+        if configuration.version == state.configuration_version:
+            # A call that is sent again may be the first that this leader receives.
+            await publisher.subscriptions.wait_known_nodes()
+            await publisher.subscriptions.wait_confirmed(publisher.sequence)
         return ConfigurationText(configuration.version, b"")
 
     async def on_read_configuration(self, call: ReadConfiguration) -> ConfigurationText:
@@ -210,7 +214,7 @@
         if call.version > known_version:
             await replica.propose(StoreWeights(call.model, call.version))
             self.log.info("weights_named", model=call.model, version=call.version)
-            await publisher.wait_confirmed(publisher.update_facts())
+            await publisher.subscriptions.wait_confirmed(publisher.update_facts())
 
     async def on_join_core(self, call: JoinCore) -> JoinCoreAnswer:
         """Take the next step that makes a replica with an empty disk a voter."""
--- a/src/laburnumpitch/fleet/messages.py
+++ b/src/laburnumpitch/fleet/messages.py
@@ -119,6 +119,8 @@
     """Pieces of prompts that crash targets."""
     suspect_pieces: list[str] = field(default_factory=list)
     """Pieces that may crash targets; nodes report completed answers on them."""
+    leader_host: str = ""
+    """Host of the leader that published the facts."""
 
 
 class FleetSnapshot(Message):
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -7,9 +7,19 @@
 import msgspec
 
 from laburnumpitch.control.raft import LEADER
+from laburnumpitch.fleet import subscriptions
+from laburnumpitch.fleet.leader_client import LeaderClient
+from laburnumpitch.fleet.messages import Follow
 from laburnumpitch.fleet.replica_manager import JOIN_INTERVAL_S
 
-from .fleet_case import Fleet, FleetCase, make_configuration, wait_until
+from .fleet_case import (
+    POLL_INTERVAL_S,
+    WAIT_S,
+    Fleet,
+    FleetCase,
+    make_configuration,
+    wait_until,
+)
 
 
 def make_announcement(number: int, state: str = "ready", **changes) -> bytes:
@@ -152,6 +162,68 @@
         self.run_fleet(3, 3, scenario)
 
 
+CONFIRMATION_POLLS = 25
+"""Checks in a row that a change is not confirmed yet."""
+
+
+class ConfirmedByNewLeaderTest(FleetCase):
+    """A change was confirmed, but not in force on nodes unknown to the leader."""
+
+    def test_configuration_is_in_force(self) -> None:
+        """A new leader's acknowledgement waits for the nodes of the former one."""
+        self.patch(subscriptions, "KNOWN_NODES_TIMEOUT_S", WAIT_S)
+        self.patch(subscriptions, "CONFIRM_TIMEOUT_S", WAIT_S)
+
+        async def scenario(fleet: Fleet) -> None:
+            await fleet.start()
+            await fleet.put_configuration(fleet.hosts[0], make_configuration(5))
+            leader = fleet.get_leader()
+            await wait_until(lambda: len(leader.fleet_view.hosts) == len(fleet.hosts))
+            slow_client = fleet.nodes[fleet.hosts[-1]].leader_client
+            is_held, found_leader = hold_follow_calls(slow_client)
+            await is_held.wait()
+            await fleet.stop(leader.settings.host)
+            await wait_until(fleet.get_leader)
+            host = fleet.get_leader().settings.host
+            change = asyncio.create_task(
+                fleet.put_configuration(host, make_configuration(6))
+            )
+            await wait_until(lambda: count_version(fleet, 6) == len(fleet.nodes) - 1)
+            for _ in range(CONFIRMATION_POLLS):
+                await asyncio.sleep(POLL_INTERVAL_S)
+                self.assertFalse(change.done())
+            found_leader.set()
+            await change
+            self.assertEqual({6}, fleet.list_versions())
+
+        self.run_fleet(4, 3, scenario)
+
+
+def count_version(fleet: Fleet, version: int) -> int:
+    """Return the number of nodes on which a configuration version is in force."""
+    found = [node.fleet_view.configuration.version for node in fleet.nodes.values()]
+    return found.count(version)
+
+
+def hold_follow_calls(client: LeaderClient) -> tuple[asyncio.Event, asyncio.Event]:
+    """Hold a node's calls for changes.
+
+    Returns:
+        An event that is set once a call is held, and the one that releases it.
+    """
+    is_held, release = asyncio.Event(), asyncio.Event()
+    call = client.call
+
+    async def hold_call(request, *args):
+        if isinstance(request, Follow):
+            is_held.set()
+            await release.wait()
+        return await call(request, *args)
+
+    client.call = hold_call
+    return is_held, release
+
+
 class ReplacedVoterTest(FleetCase):
     """A configuration that was not read back after a voter had been replaced."""
 
--- a/tests/fleet/test_fleet_publisher.py
+++ b/tests/fleet/test_fleet_publisher.py
@@ -6,16 +6,20 @@
 from types import SimpleNamespace
 
 import testtools
+from msgspec.structs import replace
 
 from laburnumpitch.fleet.fleet_publisher import (
     MAX_HOLD_S,
-    MIN_HOLD_S,
     QUARANTINE_INTERVAL_S,
     FleetPublisher,
-    SubscriberState,
 )
 from laburnumpitch.fleet.fleet_view import LEADER_TIMEOUT_S
-from laburnumpitch.fleet.messages import Follow, NodeRecord, TargetDied
+from laburnumpitch.fleet.messages import FleetFacts, Follow, NodeRecord, TargetDied
+from laburnumpitch.fleet.subscriptions import (
+    KNOWN_NODES_TIMEOUT_S,
+    MIN_HOLD_S,
+    SubscriberState,
+)
 
 NODES = 12
 ENGINES = 30
@@ -31,6 +35,7 @@
     state = SimpleNamespace(configuration_version=1, configuration=b"", weights={})
     replica = SimpleNamespace(
         require_leader=lambda: None,
+        get_leader_name=lambda: "h0",
         core=SimpleNamespace(term=TERM, committed_members=[]),
         state_machine=SimpleNamespace(state=state),
     )
@@ -111,7 +116,9 @@
             held = [asyncio.create_task(publisher.handle_follow(make_call(0, before)))]
             await asyncio.sleep(0)
             newest = publisher.publish()
-            waiting = asyncio.create_task(publisher.wait_confirmed(newest))
+            waiting = asyncio.create_task(
+                publisher.subscriptions.wait_confirmed(newest)
+            )
             await asyncio.gather(*held)
             self.assertFalse(waiting.done())
             held = [asyncio.create_task(publisher.handle_follow(make_call(0, newest)))]
@@ -121,6 +128,43 @@
         self.run_publisher(scenario)
 
 
+class NewLeaderTest(testtools.TestCase):
+    """Changes right after an election, before the nodes have found the new leader."""
+
+    def test_change_waits_for_nodes_of_the_former_leader(self) -> None:
+        """It waits until they follow, but not for the former leader itself."""
+
+        async def run() -> None:
+            publisher = make_publisher()
+            hosts = [f"h{number}" for number in range(NODES)]
+            facts = FleetFacts({}, [], hosts, [], {}, leader_host=hosts[0])
+            publisher.get_facts = lambda: facts
+            publisher.reset(TERM)
+            waiting = asyncio.create_task(publisher.subscriptions.wait_known_nodes())
+            for number in range(1, NODES):
+                await asyncio.sleep(0)
+                self.assertFalse(waiting.done())
+                call = replace(make_call(number, 0), term=TERM - 1)
+                await publisher.handle_follow(call)
+            await waiting
+            self.assertEqual(set(), publisher.subscriptions.awaited_hosts)
+
+        asyncio.run(run())
+
+    def test_lost_node_is_not_awaited_for_ever(self) -> None:
+        """A node that does not call after the election counts as lost."""
+
+        async def run() -> None:
+            publisher = make_publisher()
+            publisher.get_facts = lambda: FleetFacts({}, [], ["h1"], [], {})
+            publisher.reset(TERM)
+            publisher.subscriptions.started_s -= KNOWN_NODES_TIMEOUT_S
+            await publisher.subscriptions.wait_known_nodes()
+            self.assertEqual(set(), publisher.subscriptions.awaited_hosts)
+
+        asyncio.run(run())
+
+
 class HoldTimeTest(testtools.TestCase):
     """How long calls are held in fleets of different sizes."""
 
@@ -138,7 +182,9 @@
             publisher.check_term()
             for number in range(self.nodes):
                 node = make_call(number, 0).node
-                publisher.subscribers[node.host] = SubscriberState(node, 0.0, 0)
+                publisher.subscriptions.by_host[node.host] = SubscriberState(
+                    node, 0.0, 0
+                )
             node = NodeRecord("h0", "n0", "", "", "dc", self.has_disk)
             return publisher.choose_hold_s(node)
 
