--- a/harness/soak/__main__.py
+++ b/harness/soak/__main__.py
@@ -74,14 +74,20 @@
         await asyncio.sleep(1.0)
         clients = SoakClients(fleet, operator, random.Random(seed + 2))
         injector = SoakFaultInjector(fleet, targets, proxy, rng)
-        return await run_phases(
+        history, injector = await run_phases(
             fleet, operator, clients, injector, journal, seconds, options
         )
+        has_violation = any(verdict.violations for verdict in check_all(history))
     finally:
         for target in targets:
             await target.crash()
         await asyncio.to_thread(fleet.close)
         await asyncio.to_thread(proxy.close)
+    if has_violation:
+        print(f"seed={seed} output kept in {fleet.folder.name}", flush=True)
+    else:
+        fleet.remove_files()
+    return history, injector
 
 
 def make_targets(fleet: SoakFleet, journal: Journal, seed: int) -> list[PlatformTarget]:
--- a/harness/soak/fleet.py
+++ b/harness/soak/fleet.py
@@ -87,11 +87,14 @@
             node.start()
 
     def close(self) -> None:
-        """Kill all processes and remove their files."""
+        """Kill all processes; their files stay, for what a check may find."""
         for node in self.nodes.values():
             node.thaw()
             node.kill()
         release_ports(self.ports)
+
+    def remove_files(self) -> None:
+        """Remove settings, output and data of the run."""
         shutil.rmtree(self.folder)
 
     def has_disk(self, host: str) -> bool:
