Refuse requests that a stopping node may have to cut

Cause: since open connections are served while a node drains, a request could be taken that lasts longer than the node. Evidence: StoppingNodeTest fails on the code before (answered 200 by a node that closes in 1 s). Change: once a stopping node accepts no connections any more, it refuses what may last longer than it does, as not run and to be sent to another node at once.

--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -367,6 +367,8 @@
         self.log.info("node_draining", busy=self.client_server.active_requests)
         await asyncio.sleep(min(DRAIN_ACCEPT_S, drain_s))
         self.client_server.stop_accepting()
+        # Clients may go on to use their open connections.
+        self.relay_api.closes_at_s = deadline_s
         while self.client_server.connection_tasks and time.monotonic() < deadline_s:
             await self.client_server.close_idle()
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
--- a/src/laburnumpitch/relay/relay_api.py
+++ b/src/laburnumpitch/relay/relay_api.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 from ..errors import (
+    DrainingError,
     LaburnumpitchError,
     NoLeaseError,
     NoTargetError,
@@ -43,6 +45,9 @@
         self.services = services
         self.random = random_source
         self.delivered = 0
+        self.closes_at_s = math.inf
+        """Monotonic time at which a stopping node aborts what still runs. Requests that
+        may last longer are refused; infinite while the node accepts connections."""
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Relay one request, or refuse it."""
@@ -82,6 +87,8 @@
         admitted = AdmittedRequest(
             request, metadata, route, service, organisation, configuration.version
         )
+        if self.services.get_time_s() + admitted.timeout_s > self.closes_at_s:
+            raise DrainingError("the node may stop before the request has ended")
         self.services.crash_reports.check(admitted)
         self.services.retry_limiter.record_request(service)
         self.services.metrics.count("request.accepted")
@@ -130,8 +137,11 @@
     ) -> float:
         """Return the delay after which a client should retry.
 
-        It is at most a third of the time that the client still waits.
+        It is at most a third of the time that the client still waits. Other nodes can
+        take a request that a stopping one refuses, at once.
         """
+        if isinstance(error, DrainingError):
+            return 0.0
         is_ready = isinstance(error, (NoTargetError, OverloadedError))
         bounds = READY_RETRY_AFTER_S if is_ready else UNREADY_RETRY_AFTER_S
         retry_after_s = self.random.uniform(*bounds)
--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -63,12 +63,8 @@
         self.admitted = admitted
         self.responder = responder
         self.route = admitted.route
-        metadata = admitted.metadata
         self.started_s = admitted.request.received_at_s
-        total_timeout_s = min(
-            metadata.client_timeout_s or self.route.timeout_s, self.route.timeout_s
-        )
-        self.deadline_s = self.started_s + total_timeout_s
+        self.deadline_s = self.started_s + admitted.timeout_s
         self.excluded: set[str] = set()
         """Targets that failed or rejected the request."""
         self.may_have_run = False
--- a/src/laburnumpitch/relay/request.py
+++ b/src/laburnumpitch/relay/request.py
@@ -79,6 +79,12 @@
             return self.organisation.priority_class
         return self.route.priority_class
 
+    @property
+    def timeout_s(self) -> float:
+        """Time from its arrival in which the request has to be answered."""
+        route_timeout_s = self.route.timeout_s
+        return min(self.metadata.client_timeout_s or route_timeout_s, route_timeout_s)
+
     @property
     def fingerprint(self) -> str:
         """Hash that all attempts of one request by an organisation have in common."""
--- a/tests/relay/relay_case.py
+++ b/tests/relay/relay_case.py
@@ -260,7 +260,8 @@
         for number in range(1, len(self.targets)):
             statistics.get(f"t{number}").failure_rate = 0.1 * number
         self.services = services
-        self.server = HttpServer(HOST, 0, RelayApi(services, source).handle)
+        self.relay_api = RelayApi(services, source)
+        self.server = HttpServer(HOST, 0, self.relay_api.handle)
         await self.server.start()
         self.client = HttpClient(f"{HOST}:{self.server.port}")
 
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 from laburnumpitch.errors import TargetError
 from laburnumpitch.fleet.messages import TargetDied
@@ -346,3 +347,25 @@
             self.assertTrue(0 <= float(headers["retry-after"]) <= 0.5)
 
         self.run_relay([[]], scenario)
+
+
+class StoppingNodeTest(RelayCase):
+    """A stopping node took a request on an open connection and cut it at its end."""
+
+    scenarios = [
+        ("may_last_too_long", {"left_s": 1.0, "status": 503, "sent": 0}),
+        ("ends_in_time", {"left_s": 60.0, "status": 200, "sent": 1}),
+    ]
+
+    def test_request(self) -> None:
+        """It is refused as not run, for another node at once, if it may be cut."""
+
+        async def scenario() -> None:
+            self.relay_api.closes_at_s = time.monotonic() + self.left_s
+            status, headers, _ = await self.send_request("stream")
+            self.assertEqual(self.status, status)
+            self.assertEqual(self.sent, sum(self.count_requests()))
+            if status == 503:
+                self.assertEqual("0.000", headers["retry-after"])
+
+        self.run_relay([[COMPLETE_STREAM]], scenario)
