Excuse what a suspended node answers as it goes on, in the soak's check

Traced in its logs: version 3 was confirmed without that node (change_unconfirmed), which was suspended from 7.4 to 10.7 s; the request waited there on an open connection and was answered at 10.715 s, 5 ms before the leader's answer with version 3. The check excused faults that began or ended up to 3 s before a request was sent; a suspension may last 4 s, and the soak's clients now use connections to suspended nodes.

--- a/tests/harness/test_soak.py
+++ b/tests/harness/test_soak.py
@@ -12,8 +12,9 @@
 
 from harness.soak import checks
 from harness.soak.__main__ import SoakOptions, run_soak
-from harness.soak.checks import SoakHistory, check_all
+from harness.soak.checks import FAULT_RECOVERY_S, SoakHistory, check_all
 from harness.soak.clients import RequestRecord
+from harness.soak.fault_injector import MAX_FAULT_S
 from harness.soak.operator import ConfigurationChange, SoakOperator, WeightVersionChange
 from standins.platform_target import (
     Arrival,
@@ -310,3 +311,18 @@
         history = make_history([record], [arrival], recovery_deadline_s=40.0)
         history.operator.weight_version_changes = [WeightVersionChange(2, 1.0, 2.0)]
         self.assertEqual(1, len(checks.check_recovery(history).violations))
+
+
+class SuspendedNodeTest(testtools.TestCase):
+    """A request that waited at a suspended node for longer than faults are excused."""
+
+    def test_span_of_the_request_counts(self) -> None:
+        """It is excused if the node is resumed before it answers, and only then."""
+        history = make_history(
+            [], [], node_fault_times_s={HOST: [10.0, 10.0 + MAX_FAULT_S]}
+        )
+        sent_s, resumed_s = 13.5, 10.0 + MAX_FAULT_S
+        self.assertTrue(history.is_fault_free(HOST, sent_s, resumed_s - 0.1))
+        self.assertFalse(history.is_fault_free(HOST, sent_s, resumed_s + 0.1))
+        later_s = resumed_s + FAULT_RECOVERY_S + 0.1
+        self.assertTrue(history.is_fault_free(HOST, later_s, later_s + 1.0))
