--- /dev/null
+++ b/src/laburnumpitch/transport/responder.py
@@ -0,0 +1,76 @@
+"""Sends the answers of an HTTP server."""
+
+from __future__ import annotations
+
+import asyncio
+
+import h11
+
+from .http_request import Headers
+
+WRITE_TIMEOUT_S = 30.0
+"""Timeout of waiting for a client to read what was written."""
+
+
+class Responder:
+    """Sends one answer on a connection.
+
+    Args:
+        connection: h11 state of the connection.
+        writer: Stream to the client.
+    """
+
+    def __init__(
+        self, connection: h11.Connection, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connection = connection
+        self.writer = writer
+        self.has_started = False
+        self.has_finished = False
+        self.must_close = False
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send status and headers; without a Content-Length the body is chunked."""
+        if self.must_close:
+            headers = [*headers, ("connection", "close")]
+        self.has_started = True
+        self.write_event(h11.Response(status_code=status, headers=headers))
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body.
+
+        Raises:
+            ConnectionError: If the client has disconnected or reads nothing.
+        """
+        self.write_event(h11.Data(data=data))
+        await self.drain()
+
+    async def finish(self) -> None:
+        """End the answer."""
+        self.write_event(h11.EndOfMessage())
+        self.has_finished = True
+        await self.drain()
+
+    async def send(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a complete answer."""
+        await self.start(status, [*headers, ("content-length", str(len(body)))])
+        if body:
+            self.write_event(h11.Data(data=body))
+        await self.finish()
+
+    def write_event(self, event: h11.Event) -> None:
+        """Encode an h11 event and queue it for sending."""
+        data = self.connection.send(event)
+        if data:
+            self.writer.write(data)
+
+    async def drain(self) -> None:
+        """Wait until the client has read enough, or raise ConnectionError."""
+        transport = self.writer.transport
+        if not transport.is_closing() and not transport.get_write_buffer_size():
+            return
+        try:
+            async with asyncio.timeout(WRITE_TIMEOUT_S):
+                await self.writer.drain()
+        except asyncio.TimeoutError as error:
+            raise ConnectionError("write timeout: the client reads no data") from error
