Log connections closed by a timeout and requests without an answer

Callers reported requests without an answer, and the log could not tell the causes apart: nothing was written when a timeout closed a connection, or when one ended after a request had been read whole.

connection_timed_out names the timeout, how long nothing had arrived and how many bytes had arrived unread; ConnectionReader counts them as the transport feeds it. request_unanswered names the cause, the bytes sent and whether the client had disconnected. A connection is closed or kept as before; a write timeout has its own class, still a ConnectionError.

--- a/src/laburnumpitch/transport/http_server.py
+++ b/src/laburnumpitch/transport/http_server.py
@@ -10,9 +10,11 @@
 from ..errors import TooLargeError
 from ..logging import get_logger
 from ._socket_state import has_unread_data
+from .connection_log import ConnectionLog, ConnectionPhase
+from .connection_reader import ConnectionReader
 from .http_request import Headers, HttpRequest
 from .responder import Responder
-from .server_connection import CHUNK_BYTES, ServerConnection
+from .server_connection import ServerConnection
 from .server_limits import ServerLimits
 
 __all__ = ["Headers", "HttpRequest", "HttpServer", "RequestHandler", "Responder"]
@@ -52,15 +54,21 @@
         self.connection_tasks: set[asyncio.Task[None]] = set()
         self.connections: set[ServerConnection] = set()
         self.log = get_logger()
+        self.connection_log = ConnectionLog()
         self.server: asyncio.Server | None = None
 
     async def start(self) -> None:
         """Bind the address and accept connections."""
-        self.server = await asyncio.start_server(
-            self.on_connection, self.host, self.port, limit=CHUNK_BYTES, backlog=1024
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            self.make_protocol, self.host, self.port, backlog=1024
         )
         self.port = self.server.sockets[0].getsockname()[1]
 
+    def make_protocol(self) -> asyncio.StreamReaderProtocol:
+        """Return the protocol of a new connection."""
+        return asyncio.StreamReaderProtocol(ConnectionReader(), self.on_connection)
+
     def stop_accepting(self) -> None:
         """Accept no new connections; close the others after their next answer.
 
@@ -79,7 +87,9 @@
         await asyncio.sleep(0)
         await asyncio.sleep(0)
         for connection in self.connections:
-            if connection.is_waiting and not has_unread_data(connection.writer):
+            if connection.phase is ConnectionPhase.IDLE and not has_unread_data(
+                connection.writer
+            ):
                 connection.writer.close()
 
     async def close(self) -> None:
@@ -90,7 +100,7 @@
         await asyncio.gather(*self.connection_tasks, return_exceptions=True)
 
     async def on_connection(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, reader: ConnectionReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serve one connection until it ends."""
         task = asyncio.current_task()
@@ -99,17 +109,25 @@
             writer.close()
             return
         self.connection_tasks.add(task)
-        connection = ServerConnection(reader, writer, lambda: self.limits)
+        connection = ServerConnection(
+            reader, writer, lambda: self.limits, self.connection_log
+        )
         self.connections.add(connection)
+        end: BaseException | None = None
         try:
             await self.serve_connection(connection)
-        except (ConnectionError, asyncio.TimeoutError, h11.ProtocolError):
-            pass
-        except asyncio.CancelledError:
-            pass
-        except Exception:
+        except (
+            ConnectionError,
+            asyncio.TimeoutError,
+            asyncio.CancelledError,
+            h11.ProtocolError,
+        ) as error:
+            end = error
+        except Exception as error:
+            end = error
             self.log.exception("connection_failed")
         finally:
+            connection.record_end(end)
             self.connection_tasks.discard(task)
             self.connections.discard(connection)
             writer.close()
@@ -117,7 +135,7 @@
     async def serve_connection(self, connection: ServerConnection) -> None:
         """Answer the requests of one connection, one after another."""
         while True:
-            responder = connection.make_responder()
+            responder = connection.responder
             try:
                 request = await connection.read_request()
             except TooLargeError as error:
@@ -127,6 +145,7 @@
                 await self.reject(responder, error.error_status_hint, "malformed")
                 return
             except asyncio.TimeoutError:
+                connection.record_timeout()
                 if connection.has_partial_request():
                     await self.reject(responder, 408, "too_slow")
                 return
--- a/src/laburnumpitch/transport/responder.py
+++ b/src/laburnumpitch/transport/responder.py
@@ -12,6 +12,10 @@
 """Timeout of waiting for a client to read what was written."""
 
 
+class WriteTimeoutError(ConnectionError):
+    """The client did not read what was written."""
+
+
 class Responder:
     """Sends one answer on a connection.
 
@@ -28,6 +32,14 @@
         self.has_started = False
         self.has_finished = False
         self.must_close = False
+        self.written_bytes = 0
+        """Bytes of the answer, with its head and framing."""
+
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes of the answer that were handed to the socket."""
+        unsent_bytes = self.writer.transport.get_write_buffer_size()
+        return max(0, self.written_bytes - unsent_bytes)
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send status and headers; without a Content-Length the body is chunked."""
@@ -62,6 +74,7 @@
         """Encode an h11 event and queue it for sending."""
         data = self.connection.send(event)
         if data:
+            self.written_bytes += len(data)
             self.writer.write(data)
 
     async def drain(self) -> None:
@@ -73,4 +86,4 @@
             async with asyncio.timeout(WRITE_TIMEOUT_S):
                 await self.writer.drain()
         except asyncio.TimeoutError as error:
-            raise ConnectionError("write timeout: the client reads no data") from error
+            raise WriteTimeoutError("the client reads no data") from error
--- a/src/laburnumpitch/transport/server_connection.py
+++ b/src/laburnumpitch/transport/server_connection.py
@@ -9,16 +9,16 @@
 import h11
 
 from ..errors import TooLargeError
+from ._socket_state import count_unread_bytes
+from .connection_log import ConnectionLog, ConnectionPhase
+from .connection_reader import CHUNK_BYTES, ConnectionReader
 from .http_request import HttpRequest
-from .responder import Responder
+from .responder import Responder, WriteTimeoutError
 from .server_limits import ServerLimits
 
 BODY_TIMEOUT_S = 30.0
 """Timeout of a request's complete body, from the end of the headers."""
 
-CHUNK_BYTES = 65536
-"""Maximum number of bytes in one read."""
-
 
 class ServerConnection:
     """A client's connection.
@@ -27,13 +27,15 @@
         reader: Stream from the client.
         writer: Stream to the client.
         get_limits: Returns the limits in force.
+        connection_log: Records timeouts and unanswered requests.
     """
 
     def __init__(
         self,
-        reader: asyncio.StreamReader,
+        reader: ConnectionReader,
         writer: asyncio.StreamWriter,
         get_limits: Callable[[], ServerLimits],
+        connection_log: ConnectionLog,
     ) -> None:
         self.reader = reader
         self.writer = writer
@@ -41,12 +43,37 @@
         self.h11_connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=get_limits().header_bytes
         )
-        self.is_waiting = False
-        """Whether the connection waits for a request's first bytes."""
+        self.connection_log = connection_log
+        self.phase = ConnectionPhase.IDLE
+        self.responder = Responder(self.h11_connection, writer)
+        """Answers the current or the next request."""
+        self.has_disconnected = False
+        """Whether the client disconnected during an answer."""
+
+    def count_unread_bytes(self) -> int:
+        """Return the number of bytes that have arrived and were not read."""
+        return self.reader.unread_bytes + count_unread_bytes(self.writer)
+
+    def record_timeout(self) -> None:
+        """Record that the connection is closed by a timeout."""
+        self.connection_log.record_timeout(
+            self.phase, self.reader.last_received_s, self.count_unread_bytes()
+        )
 
-    def make_responder(self) -> Responder:
-        """Return the responder of the next request."""
-        return Responder(self.h11_connection, self.writer)
+    def record_end(self, error: BaseException | None) -> None:
+        """Record that the connection ends.
+
+        Args:
+            error: What ended it; None if it was closed in order.
+        """
+        responder = self.responder
+        if isinstance(error, WriteTimeoutError):
+            self.record_timeout()
+        if self.phase is ConnectionPhase.ANSWER and not responder.has_finished:
+            cause = type(error).__name__ if error else "no_answer"
+            self.connection_log.record_unanswered(
+                cause, responder.sent_bytes, self.has_disconnected
+            )
 
     def has_partial_request(self) -> bool:
         """Whether a part of a request, and not all of it, has been read."""
@@ -62,6 +89,7 @@
         if connection.their_state is not h11.DONE:
             return False
         connection.start_next_cycle()
+        self.responder = Responder(connection, self.writer)
         return True
 
     async def read_request(self) -> HttpRequest | None:
@@ -77,8 +105,10 @@
         header_names = {name for name, _ in head.headers}
         if b"content-length" in header_names and b"transfer-encoding" in header_names:
             raise h11.RemoteProtocolError("ambiguous length", error_status_hint=400)
+        self.phase = ConnectionPhase.BODY
         async with asyncio.timeout(BODY_TIMEOUT_S):
             body = await self.read_body()
+        self.phase = ConnectionPhase.ANSWER
         path, _, query = head.target.decode("latin-1").partition("?")
         headers = [
             (name.decode("latin-1"), value.decode("latin-1"))
@@ -102,13 +132,12 @@
             if event is not h11.NEED_DATA:
                 return None
             if deadline_s is None and not connection.trailing_data[0]:
-                self.is_waiting = True
-                try:
-                    async with asyncio.timeout(self.get_limits().idle_timeout_s):
-                        data = await self.reader.read(CHUNK_BYTES)
-                finally:
-                    self.is_waiting = False
+                self.phase = ConnectionPhase.IDLE
+                async with asyncio.timeout(self.get_limits().idle_timeout_s):
+                    data = await self.reader.read(CHUNK_BYTES)
+                self.phase = ConnectionPhase.HEADER
             else:
+                self.phase = ConnectionPhase.HEADER
                 now_s = time.monotonic()
                 deadline_s = deadline_s or now_s + self.get_limits().header_timeout_s
                 async with asyncio.timeout(deadline_s - now_s):
@@ -148,6 +177,7 @@
             except OSError:
                 data = b""
             if not data:
+                self.has_disconnected = True
                 handler_task.cancel()
                 return
             self.h11_connection.receive_data(data)
