Answer requests that have arrived when a timeout is noticed late

Callers saw a kept connection closed without an answer although they had sent a whole request in time, or a 408 for a request that had arrived whole.

Cause: each wait for data ran under asyncio.timeout. If the process was suspended or busy past the deadline, the timer ran in the same pass of the event loop as the data, or before the socket was read, and the timeout won. It holds for the idle timeout, the timeout of the headers and that of the body.

Ruled out: the client's order of sending (the test sends before the clock jumps), and a shorter timer alone (without a pause the request is answered).

ServerConnection.read_by decides it in one place, from the bytes that the transport has fed and those in the socket: at the deadline they are counted and may still be read; what comes later may not, so that a client that trickles is cut as before.

--- a/src/laburnumpitch/transport/server_connection.py
+++ b/src/laburnumpitch/transport/server_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from collections.abc import Callable
 
@@ -44,6 +45,11 @@
             h11.SERVER, max_incomplete_event_size=get_limits().header_bytes
         )
         self.connection_log = connection_log
+        self.loop = asyncio.get_running_loop()
+        self.overrun_deadline_s: float | None = None
+        """Deadline after which only data that had arrived is read."""
+        self.overrun_bytes = 0
+        """Bytes that had arrived by that deadline and were not read yet."""
         self.phase = ConnectionPhase.IDLE
         self.responder = Responder(self.h11_connection, writer)
         """Answers the current or the next request."""
@@ -51,7 +57,12 @@
         """Whether the client disconnected during an answer."""
 
     def count_unread_bytes(self) -> int:
-        """Return the number of bytes that have arrived and were not read."""
+        """Return the number of bytes that have arrived and were not read.
+
+        A socket that is being closed is not read any more.
+        """
+        if self.writer.is_closing():
+            return self.reader.unread_bytes
         return self.reader.unread_bytes + count_unread_bytes(self.writer)
 
     def record_timeout(self) -> None:
@@ -106,8 +117,7 @@
         if b"content-length" in header_names and b"transfer-encoding" in header_names:
             raise h11.RemoteProtocolError("ambiguous length", error_status_hint=400)
         self.phase = ConnectionPhase.BODY
-        async with asyncio.timeout(BODY_TIMEOUT_S):
-            body = await self.read_body()
+        body = await self.read_body(self.loop.time() + BODY_TIMEOUT_S)
         self.phase = ConnectionPhase.ANSWER
         path, _, query = head.target.decode("latin-1").partition("?")
         headers = [
@@ -124,30 +134,42 @@
             TimeoutError: If the client is idle or slow for too long.
         """
         connection = self.h11_connection
-        deadline_s = None
+        header_deadline_s = None
         while True:
             event = connection.next_event()
             if isinstance(event, h11.Request):
                 return event
             if event is not h11.NEED_DATA:
                 return None
-            if deadline_s is None and not connection.trailing_data[0]:
+            if header_deadline_s is None and not connection.trailing_data[0]:
                 self.phase = ConnectionPhase.IDLE
-                async with asyncio.timeout(self.get_limits().idle_timeout_s):
-                    data = await self.reader.read(CHUNK_BYTES)
-                self.phase = ConnectionPhase.HEADER
+                data = await self.read_by(
+                    self.loop.time() + self.get_limits().idle_timeout_s
+                )
+                header_deadline_s = (
+                    self.loop.time() + self.get_limits().header_timeout_s
+                )
             else:
                 self.phase = ConnectionPhase.HEADER
-                now_s = time.monotonic()
-                deadline_s = deadline_s or now_s + self.get_limits().header_timeout_s
-                async with asyncio.timeout(deadline_s - now_s):
-                    data = await self.reader.read(CHUNK_BYTES)
-            header_timeout_s = self.get_limits().header_timeout_s
-            deadline_s = deadline_s or (time.monotonic() + header_timeout_s)
+                if header_deadline_s is None:
+                    header_deadline_s = (
+                        self.loop.time() + self.get_limits().header_timeout_s
+                    )
+                data = await self.read_by(header_deadline_s)
+            self.phase = ConnectionPhase.HEADER
             connection.receive_data(data)
 
-    async def read_body(self) -> bytes:
-        """Read up to the end of the body."""
+    async def read_body(self, deadline_s: float) -> bytes:
+        """Read up to the end of the body.
+
+        Args:
+            deadline_s: Time of the event loop by which it has to arrive.
+
+        Raises:
+            TimeoutError: If it does not.
+            TooLargeError: If it exceeds its limit.
+            ConnectionError: If the client disconnects.
+        """
         connection = self.h11_connection
         chunks = []
         size = 0
@@ -157,7 +179,7 @@
                 self.writer.write(connection.send(continue_answer))
             event = connection.next_event()
             if event is h11.NEED_DATA:
-                connection.receive_data(await self.reader.read(CHUNK_BYTES))
+                connection.receive_data(await self.read_by(deadline_s))
             elif isinstance(event, h11.Data):
                 size += len(event.data)
                 body_bytes = self.get_limits().body_bytes
@@ -169,6 +191,31 @@
             else:
                 raise ConnectionError("the client disconnected")
 
+    async def read_by(self, deadline_s: float) -> bytes:
+        """Return data that arrives by a deadline, or an empty string at the end.
+
+        Data that had arrived by the deadline is returned later too, as the process may
+        have been suspended, or busy, at the deadline.
+
+        Args:
+            deadline_s: Time of the event loop.
+
+        Raises:
+            TimeoutError: If all that had arrived by the deadline was returned.
+        """
+        if self.loop.time() < deadline_s:
+            with contextlib.suppress(asyncio.TimeoutError):
+                async with asyncio.timeout_at(deadline_s):
+                    return await self.reader.read(CHUNK_BYTES)
+        if self.overrun_deadline_s != deadline_s:
+            self.overrun_deadline_s = deadline_s
+            self.overrun_bytes = self.count_unread_bytes()
+        if self.overrun_bytes <= 0:
+            raise asyncio.TimeoutError
+        data = await self.reader.read(CHUNK_BYTES)
+        self.overrun_bytes -= len(data)
+        return data
+
     async def cancel_on_disconnect(self, handler_task: asyncio.Future[None]) -> None:
         """Cancel a handler when its client disconnects; buffer pipelined data."""
         while True:
--- a/tests/transport/server_case.py
+++ b/tests/transport/server_case.py
@@ -72,6 +72,7 @@
         client = socket.socket()
         self.addCleanup(client.close)
         client.setblocking(False)
+        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         await self.loop.sock_connect(client, (HOST, server.port))
         client_address = client.getsockname()
         await self.wait_until(
