Keep a connection open whose request was read as the server closes idle ones

A stopping node closed a connection without an answer although it had read the request from the socket.

Cause: close_idle looked at the socket only, after two passes of the event loop. Data that arrived in the pass between them had left the socket, and lay in the stream as the connection's task had not run yet: the connection counted as idle.

Ruled out: data that is still in the socket, which poll saw (pass_0), and data after the close, which the server does not read (pass_2 to pass_5).

ServerConnection.is_idle now decides from the bytes that have arrived, in the stream or in the socket, as the timeouts do; no number of passes is assumed.

--- a/src/laburnumpitch/transport/http_server.py
+++ b/src/laburnumpitch/transport/http_server.py
@@ -9,8 +9,7 @@
 
 from ..errors import TooLargeError
 from ..logging import get_logger
-from ._socket_state import has_unread_data
-from .connection_log import ConnectionLog, ConnectionPhase
+from .connection_log import ConnectionLog
 from .connection_reader import ConnectionReader
 from .http_request import Headers, HttpRequest
 from .responder import Responder
@@ -83,14 +82,11 @@
 
         A request that has arrived, but was not read yet, is answered.
         """
-        # One pass reads from sockets, the next one runs the tasks that got data.
-        await asyncio.sleep(0)
-        await asyncio.sleep(0)
         for connection in self.connections:
-            if connection.phase is ConnectionPhase.IDLE and not has_unread_data(
-                connection.writer
-            ):
+            if connection.is_idle():
                 connection.writer.close()
+        # The closed connections end in the next pass of the event loop.
+        await asyncio.sleep(0)
 
     async def close(self) -> None:
         """Stop accepting and close every connection."""
--- a/src/laburnumpitch/transport/server_connection.py
+++ b/src/laburnumpitch/transport/server_connection.py
@@ -65,6 +65,13 @@
             return self.reader.unread_bytes
         return self.reader.unread_bytes + count_unread_bytes(self.writer)
 
+    def is_idle(self) -> bool:
+        """Whether the connection waits for a request of which nothing has arrived.
+
+        The connection's task may not have seen yet what has arrived.
+        """
+        return self.phase is ConnectionPhase.IDLE and not self.count_unread_bytes()
+
     def record_timeout(self) -> None:
         """Record that the connection is closed by a timeout."""
         self.connection_log.record_timeout(
--- a/tests/transport/test_draining.py
+++ b/tests/transport/test_draining.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 import testtools
 
 from laburnumpitch.transport.http_server import HttpRequest, HttpServer, Responder
 
+from .server_case import ANSWER_BODY, ServerCase
+
 HOST = "127.0.0.1"
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 TIMEOUT_S = 10.0
@@ -100,3 +103,35 @@
             return rest
 
         self.assertEqual(b"", asyncio.run(asyncio.wait_for(run(), TIMEOUT_S)))
+
+
+class CrossingRequestTest(ServerCase):
+    """A request that arrives some passes of the event loop after `close_idle` began."""
+
+    scenarios = [(f"pass_{passes}", {"passes": passes}) for passes in range(6)]
+
+    def test_what_was_read_is_answered(self) -> None:
+        """A request that the server has read from its socket is answered."""
+
+        async def run() -> tuple[bytes, int]:
+            server = await self.start_server()
+            client = await self.connect(server)
+            await self.exchange(client)
+            (connection,) = server.connections
+            await self.wait_until(lambda: not connection.responder.has_started)
+            received_before_s = connection.reader.last_received_s
+            server.stop_accepting()
+            close_task = asyncio.create_task(server.close_idle())
+            for _ in range(self.passes):
+                await asyncio.sleep(0)
+            with contextlib.suppress(ConnectionError):
+                client.sendall(REQUEST)
+            received = b""
+            with contextlib.suppress(ConnectionError):
+                received = await self.read_answer(client, ANSWER_BODY)
+            await close_task
+            await server.close()
+            return received, connection.reader.last_received_s > received_before_s
+
+        received, has_arrived = self.run_async(run())
+        self.assertEqual(has_arrived, received.endswith(ANSWER_BODY), received)
