Let a raised idle timeout extend the waits that have begun

Beside a change of the configuration, clients that reused a connection within the newest idle timeout found it closed.

Cause: a connection waited for the idle timeout in force when its wait began; a raised one held from the next wait on. Clients go by the newest limit at once.

Ruled out: a lowered limit. The wait that has begun keeps the one before, which its client may still go by; the tests show it before and after this change.

HttpServer.set_limits passes new limits to the open connections, and a connection's wait lasts for the highest limit in force since it began. A timeout asks for its deadline again before it ends the wait. Keep-Alive is not announced: it could not take back a promise either, and would hold clients to the limit before after a raise.

--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -331,11 +331,13 @@
         configuration = self.fleet_view.configuration
         if configuration is not None:
             limits = configuration.limits
-            self.client_server.limits = ServerLimits(
-                limits.header_bytes,
-                limits.body_bytes,
-                limits.header_timeout_s,
-                limits.idle_timeout_s,
+            self.client_server.set_limits(
+                ServerLimits(
+                    limits.header_bytes,
+                    limits.body_bytes,
+                    limits.header_timeout_s,
+                    limits.idle_timeout_s,
+                )
             )
 
     def is_ready(self) -> bool:
--- a/src/laburnumpitch/transport/http_server.py
+++ b/src/laburnumpitch/transport/http_server.py
@@ -33,7 +33,7 @@
         host: Address to bind.
         port: TCP port to bind; 0 picks a free one.
         handler: Answers a request; must finish the answer or raise.
-        limits: Limits on clients; may be replaced while serving.
+        limits: Limits on clients.
     """
 
     def __init__(
@@ -64,6 +64,12 @@
         )
         self.port = self.server.sockets[0].getsockname()[1]
 
+    def set_limits(self, limits: ServerLimits) -> None:
+        """Change the limits on clients, also for the connections that are open."""
+        self.limits = limits
+        for connection in self.connections:
+            connection.raise_limits(limits)
+
     def make_protocol(self) -> asyncio.StreamReaderProtocol:
         """Return the protocol of a new connection."""
         return asyncio.StreamReaderProtocol(ConnectionReader(), self.on_connection)
--- a/src/laburnumpitch/transport/server_connection.py
+++ b/src/laburnumpitch/transport/server_connection.py
@@ -44,6 +44,8 @@
         self.h11_connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=get_limits().header_bytes
         )
+        self.limits = get_limits()
+        """The highest limits in force since the client could use them."""
         self.connection_log = connection_log
         self.loop = asyncio.get_running_loop()
         self.overrun_deadline_s: float | None = None
@@ -93,6 +95,14 @@
                 cause, responder.sent_bytes, self.has_disconnected
             )
 
+    def raise_limits(self, limits: ServerLimits) -> None:
+        """Let a wait that has begun have the limits that come into force.
+
+        A client may go by the new limits at once, and by the ones before on a
+        connection that it kept while they were in force.
+        """
+        self.limits = self.limits.get_highest(limits)
+
     def has_partial_request(self) -> bool:
         """Whether a part of a request, and not all of it, has been read."""
         return self.h11_connection.their_state is not h11.IDLE or bool(
@@ -142,6 +152,7 @@
         """
         connection = self.h11_connection
         header_deadline_s = None
+        self.limits = self.get_limits()
         while True:
             event = connection.next_event()
             if isinstance(event, h11.Request):
@@ -150,8 +161,9 @@
                 return None
             if header_deadline_s is None and not connection.trailing_data[0]:
                 self.phase = ConnectionPhase.IDLE
+                started_s = self.loop.time()
                 data = await self.read_by(
-                    self.loop.time() + self.get_limits().idle_timeout_s
+                    lambda: started_s + self.limits.idle_timeout_s
                 )
                 header_deadline_s = (
                     self.loop.time() + self.get_limits().header_timeout_s
@@ -162,7 +174,7 @@
                     header_deadline_s = (
                         self.loop.time() + self.get_limits().header_timeout_s
                     )
-                data = await self.read_by(header_deadline_s)
+                data = await self.read_by(lambda: header_deadline_s)
             self.phase = ConnectionPhase.HEADER
             connection.receive_data(data)
 
@@ -186,7 +198,7 @@
                 self.writer.write(connection.send(continue_answer))
             event = connection.next_event()
             if event is h11.NEED_DATA:
-                connection.receive_data(await self.read_by(deadline_s))
+                connection.receive_data(await self.read_by(lambda: deadline_s))
             elif isinstance(event, h11.Data):
                 size += len(event.data)
                 body_bytes = self.get_limits().body_bytes
@@ -198,19 +210,19 @@
             else:
                 raise ConnectionError("the client disconnected")
 
-    async def read_by(self, deadline_s: float) -> bytes:
+    async def read_by(self, get_deadline_s: Callable[[], float]) -> bytes:
         """Return data that arrives by a deadline, or an empty string at the end.
 
         Data that had arrived by the deadline is returned later too, as the process may
         have been suspended, or busy, at the deadline.
 
         Args:
-            deadline_s: Time of the event loop.
+            get_deadline_s: Returns a time of the event loop, which may move.
 
         Raises:
             TimeoutError: If all that had arrived by the deadline was returned.
         """
-        if self.loop.time() < deadline_s:
+        while self.loop.time() < (deadline_s := get_deadline_s()):
             with contextlib.suppress(asyncio.TimeoutError):
                 async with asyncio.timeout_at(deadline_s):
                     return await self.reader.read(CHUNK_BYTES)
--- a/src/laburnumpitch/transport/server_limits.py
+++ b/src/laburnumpitch/transport/server_limits.py
@@ -25,3 +25,12 @@
     body_bytes: int = MAX_BODY_BYTES
     header_timeout_s: float = HEADER_TIMEOUT_S
     idle_timeout_s: float = IDLE_TIMEOUT_S
+
+    def get_highest(self, other: ServerLimits) -> ServerLimits:
+        """Return the higher value of each limit."""
+        return ServerLimits(
+            max(self.header_bytes, other.header_bytes),
+            max(self.body_bytes, other.body_bytes),
+            max(self.header_timeout_s, other.header_timeout_s),
+            max(self.idle_timeout_s, other.idle_timeout_s),
+        )
--- a/tests/transport/server_case.py
+++ b/tests/transport/server_case.py
@@ -88,7 +88,9 @@
         while not is_true():
             await asyncio.sleep(0)
 
-    async def read_answer(self, client: socket.socket, end: bytes) -> bytes:
+    async def read_answer(
+        self, client: socket.socket, end: bytes | tuple[bytes, ...]
+    ) -> bytes:
         """Return what a client receives up to some bytes, or to the end."""
         received = b""
         while not received.endswith(end):
--- /dev/null
+++ b/tests/transport/test_changed_limits.py
@@ -0,0 +1,120 @@
+"""Limits that change while connections are open."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from dataclasses import replace
+
+from laburnumpitch.transport.http_server import HttpServer
+
+from .server_case import ANSWER_BODY, REQUEST, ServerCase
+
+LOW_S = 10.0
+PAUSE_S = 30.0
+"""Between `LOW_S` and `HIGH_S`."""
+
+HIGH_S = 60.0
+LONG_S = 100.0
+"""Longer than `HIGH_S`."""
+
+ANSWER = "answer"
+"""Step that reads an answer."""
+
+PASSES = 10
+"""Passes of the event loop in which a server notices that a time has passed."""
+
+ANSWERED = "200"
+CLOSED = ""
+"""No answer, as the connection was closed before the request was read."""
+
+RAISE_IDLE = {"idle_timeout_s": HIGH_S}
+LOWER_IDLE = {"idle_timeout_s": LOW_S}
+
+IDLE_ROWS = [
+    ("idle_raised_idle", LOWER_IDLE, [RAISE_IDLE, PAUSE_S, REQUEST], ANSWERED),
+    ("idle_raised_ends", LOWER_IDLE, [RAISE_IDLE, LONG_S, REQUEST], CLOSED),
+    ("idle_lowered_idle", RAISE_IDLE, [LOWER_IDLE, PAUSE_S, REQUEST], ANSWERED),
+    ("idle_lowered_ends", RAISE_IDLE, [LOWER_IDLE, LONG_S, REQUEST], CLOSED),
+    (
+        "idle_raised_and_lowered",
+        LOWER_IDLE,
+        [RAISE_IDLE, LOWER_IDLE, PAUSE_S, REQUEST],
+        ANSWERED,
+    ),
+    (
+        "idle_lowered_before_wait",
+        RAISE_IDLE,
+        [LOWER_IDLE, REQUEST, ANSWER, PAUSE_S, REQUEST],
+        CLOSED,
+    ),
+    (
+        "idle_raised_in_head",
+        LOWER_IDLE,
+        [REQUEST[:20], RAISE_IDLE, REQUEST[20:], ANSWER, PAUSE_S, REQUEST],
+        ANSWERED,
+    ),
+    (
+        "idle_raised_in_body",
+        LOWER_IDLE,
+        [REQUEST[:-1], RAISE_IDLE, REQUEST[-1:], ANSWER, PAUSE_S, REQUEST],
+        ANSWERED,
+    ),
+]
+"""Name, limits, steps, and status of the last answer.
+
+A step sends bytes, lets a time pass, changes limits or reads an answer.
+"""
+
+
+class ChangedLimitTest(ServerCase):
+    """Limits change on a kept connection, at some point of the next request."""
+
+    scenarios = [
+        (name, {"limits": limits, "steps": steps, "status": status})
+        for name, limits, steps, status in IDLE_ROWS
+    ]
+
+    def test_last_answer(self) -> None:
+        """A request is held to the highest limit since its client could begin it."""
+
+        async def run() -> bytes:
+            server = await self.start_server(**self.limits)
+            client = await self.connect(server)
+            for step in [REQUEST, ANSWER, *self.steps]:
+                await self.take_step(server, client, step)
+            received = b""
+            with contextlib.suppress(ConnectionError):
+                received = await self.read_answer(client, (ANSWER_BODY, b"}"))
+            await server.close()
+            return received
+
+        status = self.run_async(run()).partition(b" ")[2][:3].decode()
+        self.assertEqual(self.status, status)
+
+    async def take_step(
+        self,
+        server: HttpServer,
+        client: socket.socket,
+        step: bytes | float | str | dict[str, float],
+    ) -> None:
+        """Take one step, and wait until the server has taken notice of it."""
+        if isinstance(step, dict):
+            server.set_limits(replace(server.limits, **step))
+        elif isinstance(step, float):
+            self.jump(step)
+            for _ in range(PASSES):
+                await asyncio.sleep(0)
+        elif isinstance(step, bytes):
+            with contextlib.suppress(ConnectionError):
+                client.sendall(step)
+            await self.wait_until(
+                lambda: not any(
+                    connection.count_unread_bytes() for connection in server.connections
+                )
+            )
+        else:
+            await self.read_answer(client, ANSWER_BODY)
+            (connection,) = server.connections
+            await self.wait_until(lambda: not connection.responder.has_started)
