Give requests sent at the idle timeout time to arrive

A client that used a connection just within the idle timeout found it closed: the server closed it at the limit itself, while the request was on its way.

Ruled out: the client's clock, as the request was sent exactly at the limit.

The server waits IDLE_MARGIN_S longer than the limit that clients are told.

tests.transport.test_connection_timeouts.RequestAtLimitTest on the code before: failed, the client received nothing.

--- a/src/laburnumpitch/transport/server_connection.py
+++ b/src/laburnumpitch/transport/server_connection.py
@@ -17,6 +17,9 @@
 from .responder import Responder, WriteTimeoutError
 from .server_limits import ServerLimits
 
+IDLE_MARGIN_S = 1.0
+"""Time after the idle timeout in which a request sent before it may arrive."""
+
 BODY_TIMEOUT_S = 30.0
 """Timeout of a request's complete body, from the end of the headers."""
 
@@ -163,7 +166,7 @@
                 self.phase = ConnectionPhase.IDLE
                 started_s = self.loop.time()
                 data = await self.read_by(
-                    lambda: started_s + self.limits.idle_timeout_s
+                    lambda: started_s + self.limits.idle_timeout_s + IDLE_MARGIN_S
                 )
                 header_deadline_s = (
                     self.loop.time() + self.get_limits().header_timeout_s
--- a/tests/transport/server_case.py
+++ b/tests/transport/server_case.py
@@ -25,6 +25,9 @@
 BODY = b"body"
 REQUEST = HEAD + BODY
 ANSWER_BODY = b"whole"
+PASSES = 10
+"""Passes of the event loop in which a server notices that a time has passed."""
+
 RECEIVE_BYTES = 65536
 
 Result = TypeVar("Result")
--- a/tests/transport/test_changed_limits.py
+++ b/tests/transport/test_changed_limits.py
@@ -9,7 +9,7 @@
 
 from laburnumpitch.transport.http_server import HttpServer
 
-from .server_case import ANSWER_BODY, REQUEST, ServerCase
+from .server_case import ANSWER_BODY, PASSES, REQUEST, ServerCase
 
 LOW_S = 10.0
 PAUSE_S = 30.0
@@ -22,9 +22,6 @@
 ANSWER = "answer"
 """Step that reads an answer."""
 
-PASSES = 10
-"""Passes of the event loop in which a server notices that a time has passed."""
-
 ANSWERED = "200"
 CLOSED = ""
 """No answer, as the connection was closed before the request was read."""
--- a/tests/transport/test_connection_timeouts.py
+++ b/tests/transport/test_connection_timeouts.py
@@ -11,7 +11,7 @@
 from laburnumpitch.transport.http_server import HttpServer
 from laburnumpitch.transport.server_connection import ServerConnection
 
-from .server_case import ANSWER_BODY, BODY, HEAD, REQUEST, ServerCase
+from .server_case import ANSWER_BODY, BODY, HEAD, PASSES, REQUEST, ServerCase
 
 LONG_S = 1000.0
 """Longer than every timeout of a server."""
@@ -122,3 +122,25 @@
             while True:
                 client.sendall(b"x")
                 await asyncio.sleep(0)
+
+
+class RequestAtLimitTest(ServerCase):
+    """A client that uses a connection up to the idle timeout."""
+
+    def test_request_is_answered(self) -> None:
+        """A request sent right at the limit still has time to arrive."""
+
+        async def run() -> bytes:
+            server = await self.start_server()
+            client = await self.connect(server)
+            await self.exchange(client)
+            (connection,) = server.connections
+            await self.wait_until(lambda: not connection.responder.has_started)
+            self.jump(server.limits.idle_timeout_s)
+            for _ in range(PASSES):
+                await asyncio.sleep(0)
+            received = await self.exchange(client)
+            await server.close()
+            return received
+
+        self.assertIn(b"HTTP/1.1 200 ", self.run_async(run()))
