Apply the newest limit on headers to open connections

After max_header_bytes was raised, requests within the new limit were answered 431 on connections that had been opened before; after it was lowered, they could send more than new connections.

Cause: h11.Connection gets the limit once, as the connection opens.

Ruled out: the size of the head itself (a new connection takes it), and heads that arrive complete in one read, which h11 does not bound; that is unchanged.

ServerConnection.next_event has the limit now, with h11's rule: an incomplete event longer than it gets 431. The limits for a request are the highest in force since the wait for it began, so that a request that crosses a lowering, sent when the one before was in force, is not refused; the lower one holds from the next request on, and at once on new connections.

tests.transport.test_changed_limits on the code before: 4 of 15 failed: header_raised_idle, _in_head and _in_body got 431 instead of 200, and header_lowered_before_wait got no 431 in 20 s. With this change 15 of 15 pass, and test_transport passes.

--- a/src/laburnumpitch/transport/server_connection.py
+++ b/src/laburnumpitch/transport/server_connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import sys
 import time
 from collections.abc import Callable
 
@@ -44,11 +45,12 @@
         self.reader = reader
         self.writer = writer
         self.get_limits = get_limits
+        # `next_event` has the limit, which may change while the connection is open.
         self.h11_connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=get_limits().header_bytes
+            h11.SERVER, max_incomplete_event_size=sys.maxsize
         )
         self.limits = get_limits()
-        """The highest limits in force since the client could use them."""
+        """The highest limits in force since the wait for the request began."""
         self.connection_log = connection_log
         self.loop = asyncio.get_running_loop()
         self.overrun_deadline_s: float | None = None
@@ -157,7 +159,7 @@
         header_deadline_s = None
         self.limits = self.get_limits()
         while True:
-            event = connection.next_event()
+            event = self.next_event()
             if isinstance(event, h11.Request):
                 return event
             if event is not h11.NEED_DATA:
@@ -199,7 +201,7 @@
             if connection.they_are_waiting_for_100_continue:
                 continue_answer = h11.InformationalResponse(status_code=100, headers=[])
                 self.writer.write(connection.send(continue_answer))
-            event = connection.next_event()
+            event = self.next_event()
             if event is h11.NEED_DATA:
                 connection.receive_data(await self.read_by(lambda: deadline_s))
             elif isinstance(event, h11.Data):
@@ -213,6 +215,21 @@
             else:
                 raise ConnectionError("the client disconnected")
 
+    def next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        """Return the next event in the data that was read.
+
+        Raises:
+            RemoteProtocolError: If it is malformed, or incomplete and too long.
+        """
+        event = self.h11_connection.next_event()
+        if event is h11.NEED_DATA:
+            incomplete_bytes = len(self.h11_connection.trailing_data[0])
+            if incomplete_bytes > self.limits.header_bytes:
+                raise h11.RemoteProtocolError(
+                    f"over {self.limits.header_bytes} bytes", error_status_hint=431
+                )
+        return event
+
     async def read_by(self, get_deadline_s: Callable[[], float]) -> bytes:
         """Return data that arrives by a deadline, or an empty string at the end.
 
--- a/tests/transport/test_changed_limits.py
+++ b/tests/transport/test_changed_limits.py
@@ -9,7 +9,7 @@
 
 from laburnumpitch.transport.http_server import HttpServer
 
-from .server_case import ANSWER_BODY, PASSES, REQUEST, ServerCase
+from .server_case import ANSWER_BODY, BODY, HEAD, PASSES, REQUEST, ServerCase
 
 LOW_S = 10.0
 PAUSE_S = 30.0
@@ -29,6 +29,8 @@
 RAISE_IDLE = {"idle_timeout_s": HIGH_S}
 LOWER_IDLE = {"idle_timeout_s": LOW_S}
 
+# Rows are a name, limits, steps, and the status of the last answer. A step sends
+# bytes, lets a time pass, changes limits or reads an answer.
 IDLE_ROWS = [
     ("idle_raised_idle", LOWER_IDLE, [RAISE_IDLE, PAUSE_S, REQUEST], ANSWERED),
     ("idle_raised_ends", LOWER_IDLE, [RAISE_IDLE, LONG_S, REQUEST], CLOSED),
@@ -59,10 +61,59 @@
         ANSWERED,
     ),
 ]
-"""Name, limits, steps, and status of the last answer.
-
-A step sends bytes, lets a time pass, changes limits or reads an answer.
-"""
+LOW_BYTES = 1000
+MEDIUM_BYTES = 2000
+HIGH_BYTES = 4000
+LARGE_HEAD = HEAD.replace(b"\r\n\r\n", b"\r\nx: " + b"x" * MEDIUM_BYTES + b"\r\n\r\n")
+CHUNKED_HEAD = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+LARGE_CHUNK = b"4;x=" + b"x" * MEDIUM_BYTES + b"\r\nbody\r\n0\r\n\r\n"
+RAISE_HEADER = {"header_bytes": HIGH_BYTES}
+LOWER_HEADER = {"header_bytes": LOW_BYTES}
+
+HEADER_ROWS = [
+    (
+        "header_raised_idle",
+        LOWER_HEADER,
+        [RAISE_HEADER, LARGE_HEAD[:-4], LARGE_HEAD[-4:] + BODY],
+        ANSWERED,
+    ),
+    (
+        "header_raised_in_head",
+        LOWER_HEADER,
+        [LARGE_HEAD[:20], RAISE_HEADER, LARGE_HEAD[20:-4], LARGE_HEAD[-4:] + BODY],
+        ANSWERED,
+    ),
+    (
+        "header_raised_in_body",
+        LOWER_HEADER,
+        [CHUNKED_HEAD, RAISE_HEADER, LARGE_CHUNK[:-20], LARGE_CHUNK[-20:]],
+        ANSWERED,
+    ),
+    (
+        "header_lowered_idle",
+        RAISE_HEADER,
+        [LOWER_HEADER, LARGE_HEAD[:-4], LARGE_HEAD[-4:] + BODY],
+        ANSWERED,
+    ),
+    (
+        "header_lowered_before_wait",
+        RAISE_HEADER,
+        [LOWER_HEADER, REQUEST, ANSWER, LARGE_HEAD[:-4]],
+        "431",
+    ),
+    (
+        "header_lowered_in_head",
+        RAISE_HEADER,
+        [LARGE_HEAD[:20], LOWER_HEADER, LARGE_HEAD[20:-4], LARGE_HEAD[-4:] + BODY],
+        ANSWERED,
+    ),
+    (
+        "header_lowered_in_body",
+        RAISE_HEADER,
+        [CHUNKED_HEAD, LOWER_HEADER, LARGE_CHUNK[:-20], LARGE_CHUNK[-20:]],
+        ANSWERED,
+    ),
+]
 
 
 class ChangedLimitTest(ServerCase):
@@ -70,11 +121,11 @@
 
     scenarios = [
         (name, {"limits": limits, "steps": steps, "status": status})
-        for name, limits, steps, status in IDLE_ROWS
+        for name, limits, steps, status in IDLE_ROWS + HEADER_ROWS
     ]
 
     def test_last_answer(self) -> None:
-        """A request is held to the highest limit since its client could begin it."""
+        """The highest limit since the wait for the request began holds for it."""
 
         async def run() -> bytes:
             server = await self.start_server(**self.limits)
