Let a request that has begun keep the limit on bodies

A request was answered 413, which clients do not retry, although its body was within the limit when it was sent: max_body_bytes was lowered meanwhile.

Cause: each part of the body was compared with the limit in force at that moment. A raised limit did reach requests that had begun; the tests show it before and after this change.

The limits of the request are used, as for headers.

tests.transport.test_changed_limits on the code before: 3 of 22 failed, body_lowered_idle, _in_head and _in_body, each with 413 instead of 200. With this change 22 of 22 pass; body_lowered_before_wait still gets its 413.

--- a/src/laburnumpitch/transport/server_connection.py
+++ b/src/laburnumpitch/transport/server_connection.py
@@ -206,7 +206,7 @@
                 connection.receive_data(await self.read_by(lambda: deadline_s))
             elif isinstance(event, h11.Data):
                 size += len(event.data)
-                body_bytes = self.get_limits().body_bytes
+                body_bytes = self.limits.body_bytes
                 if size > body_bytes:
                     raise TooLargeError(f"body over {body_bytes} bytes")
                 chunks.append(bytes(event.data))
--- a/tests/transport/test_changed_limits.py
+++ b/tests/transport/test_changed_limits.py
@@ -115,13 +115,56 @@
     ),
 ]
 
+LARGE_BODY = b"b" * MEDIUM_BYTES
+LARGE_REQUEST = HEAD.replace(b" 4", b" %d" % MEDIUM_BYTES) + LARGE_BODY
+IN_BODY = -10
+"""Position in the body at which a request is cut."""
+
+RAISE_BODY = {"body_bytes": HIGH_BYTES}
+LOWER_BODY = {"body_bytes": LOW_BYTES}
+
+BODY_ROWS = [
+    ("body_raised_idle", LOWER_BODY, [RAISE_BODY, LARGE_REQUEST], ANSWERED),
+    (
+        "body_raised_in_head",
+        LOWER_BODY,
+        [LARGE_REQUEST[:20], RAISE_BODY, LARGE_REQUEST[20:]],
+        ANSWERED,
+    ),
+    (
+        "body_raised_in_body",
+        LOWER_BODY,
+        [LARGE_REQUEST[:100], RAISE_BODY, LARGE_REQUEST[100:]],
+        ANSWERED,
+    ),
+    ("body_lowered_idle", RAISE_BODY, [LOWER_BODY, LARGE_REQUEST], ANSWERED),
+    (
+        "body_lowered_in_head",
+        RAISE_BODY,
+        [LARGE_REQUEST[:20], LOWER_BODY, LARGE_REQUEST[20:]],
+        ANSWERED,
+    ),
+    (
+        "body_lowered_in_body",
+        RAISE_BODY,
+        [LARGE_REQUEST[:IN_BODY], LOWER_BODY, LARGE_REQUEST[IN_BODY:]],
+        ANSWERED,
+    ),
+    (
+        "body_lowered_before_wait",
+        RAISE_BODY,
+        [LOWER_BODY, REQUEST, ANSWER, LARGE_REQUEST],
+        "413",
+    ),
+]
+
 
 class ChangedLimitTest(ServerCase):
     """Limits change on a kept connection, at some point of the next request."""
 
     scenarios = [
         (name, {"limits": limits, "steps": steps, "status": status})
-        for name, limits, steps, status in IDLE_ROWS + HEADER_ROWS
+        for name, limits, steps, status in IDLE_ROWS + HEADER_ROWS + BODY_ROWS
     ]
 
     def test_last_answer(self) -> None:
