Let a raised header timeout extend the heads that have begun

A client that sent the headers of a request within the newest timeout got 408.

Cause: the deadline was fixed at the first byte; a raised timeout held from the next request on. A lowered one cut requests whose first byte crossed it.

The deadline follows the limits of the request, as for the other limits, and waiting for the first byte is a method of its own.

Of the other limits that change: none applies to a handler that runs, and the timeout of bodies is fixed. A lowered timeout never shortened a head that had begun; the tests show it before and after this change.

tests.transport.test_changed_limits on the code before: 2 of 29 failed, timeout_raised_in_head and timeout_lowered_idle, with 408 instead of 200. With this change 29 of 29 pass, and test_transport, test_connection_timeouts, test_connection_log and test_draining do.

--- a/src/laburnumpitch/transport/server_connection.py
+++ b/src/laburnumpitch/transport/server_connection.py
@@ -156,33 +156,38 @@
             TimeoutError: If the client is idle or slow for too long.
         """
         connection = self.h11_connection
-        header_deadline_s = None
         self.limits = self.get_limits()
+        self.phase = ConnectionPhase.HEADER
+        started_s = self.loop.time()
         while True:
             event = self.next_event()
             if isinstance(event, h11.Request):
                 return event
             if event is not h11.NEED_DATA:
                 return None
-            if header_deadline_s is None and not connection.trailing_data[0]:
-                self.phase = ConnectionPhase.IDLE
+            if not connection.trailing_data[0]:
+                data = await self.wait_for_request()
                 started_s = self.loop.time()
+            else:
                 data = await self.read_by(
-                    lambda: started_s + self.limits.idle_timeout_s + IDLE_MARGIN_S
-                )
-                header_deadline_s = (
-                    self.loop.time() + self.get_limits().header_timeout_s
+                    lambda: started_s + self.limits.header_timeout_s
                 )
-            else:
-                self.phase = ConnectionPhase.HEADER
-                if header_deadline_s is None:
-                    header_deadline_s = (
-                        self.loop.time() + self.get_limits().header_timeout_s
-                    )
-                data = await self.read_by(lambda: header_deadline_s)
-            self.phase = ConnectionPhase.HEADER
             connection.receive_data(data)
 
+    async def wait_for_request(self) -> bytes:
+        """Return the first data of a request, or an empty string at the end.
+
+        Raises:
+            TimeoutError: If the client is idle for too long.
+        """
+        self.phase = ConnectionPhase.IDLE
+        started_s = self.loop.time()
+        data = await self.read_by(
+            lambda: started_s + self.limits.idle_timeout_s + IDLE_MARGIN_S
+        )
+        self.phase = ConnectionPhase.HEADER
+        return data
+
     async def read_body(self, deadline_s: float) -> bytes:
         """Read up to the end of the body.
 
--- a/tests/transport/test_changed_limits.py
+++ b/tests/transport/test_changed_limits.py
@@ -158,13 +158,64 @@
     ),
 ]
 
+RAISE_TIMEOUT = {"header_timeout_s": HIGH_S, "idle_timeout_s": LONG_S}
+LOWER_TIMEOUT = {"header_timeout_s": LOW_S, "idle_timeout_s": LONG_S}
+
+TIMEOUT_ROWS = [
+    (
+        "timeout_raised_idle",
+        LOWER_TIMEOUT,
+        [RAISE_TIMEOUT, REQUEST[:20], PAUSE_S, REQUEST[20:]],
+        ANSWERED,
+    ),
+    (
+        "timeout_raised_in_head",
+        LOWER_TIMEOUT,
+        [REQUEST[:20], RAISE_TIMEOUT, PAUSE_S, REQUEST[20:]],
+        ANSWERED,
+    ),
+    (
+        "timeout_raised_ends",
+        LOWER_TIMEOUT,
+        [REQUEST[:20], RAISE_TIMEOUT, LONG_S, REQUEST[20:]],
+        "408",
+    ),
+    (
+        "timeout_lowered_idle",
+        RAISE_TIMEOUT,
+        [LOWER_TIMEOUT, REQUEST[:20], PAUSE_S, REQUEST[20:]],
+        ANSWERED,
+    ),
+    (
+        "timeout_lowered_in_head",
+        RAISE_TIMEOUT,
+        [REQUEST[:20], LOWER_TIMEOUT, PAUSE_S, REQUEST[20:]],
+        ANSWERED,
+    ),
+    (
+        "timeout_lowered_before_wait",
+        RAISE_TIMEOUT,
+        [LOWER_TIMEOUT, REQUEST, ANSWER, REQUEST[:20], PAUSE_S, REQUEST[20:]],
+        "408",
+    ),
+    (
+        "timeout_lowered_in_body",
+        RAISE_TIMEOUT,
+        [REQUEST[:-1], LOWER_TIMEOUT, LOW_S * 2, REQUEST[-1:]],
+        ANSWERED,
+    ),
+]
+
 
 class ChangedLimitTest(ServerCase):
     """Limits change on a kept connection, at some point of the next request."""
 
     scenarios = [
         (name, {"limits": limits, "steps": steps, "status": status})
-        for name, limits, steps, status in IDLE_ROWS + HEADER_ROWS + BODY_ROWS
+        for name, limits, steps, status in IDLE_ROWS
+        + HEADER_ROWS
+        + BODY_ROWS
+        + TIMEOUT_ROWS
     ]
 
     def test_last_answer(self) -> None:
