Send what was written before a connection counts as ended

A stopping node could cut an answer that it had finished: up to 64 KiB of it.

Cause: an answer is finished once it lies in the transport's buffer, as drain waits above the high-water mark of 64 KiB only. The connection's task then ended, FleetNode.drain waits for these tasks, and the process exited with the rest in its memory. HttpServer.close, which is all that the servers other than the clients' get, did not wait either.

Ruled out: an idle connection that is closed by close_idle, which kept its task until its buffer was sent (drained_kept passes before and after).

A connection closes once its client has read what was written, or after WRITE_TIMEOUT_S, and counts as open until then; a client that reads nothing gets its connection aborted and request_unanswered cause=unsent. HttpServer.close lets connections send for CLOSE_FLUSH_TIMEOUT_S; FleetNode closes its servers together, so that this comes off its reserve once.

--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -379,8 +379,7 @@
     async def close(self) -> None:
         """Stop all components."""
         self.bootstrap_task.cancel()
-        for server in self.http_servers:
-            await server.close()
+        await asyncio.gather(*(server.close() for server in self.http_servers))
         await self.fleet_view.close()
         if self.replica_manager is not None:
             await cancel_and_wait(self.rollout_task, self.snapshot_task)
--- a/src/laburnumpitch/transport/connection_log.py
+++ b/src/laburnumpitch/transport/connection_log.py
@@ -24,6 +24,8 @@
     HEADER = "header"
     BODY = "body"
     ANSWER = "answer"
+    CLOSING = "closing"
+    """The client to read what was written."""
 
 
 @dataclass
--- a/src/laburnumpitch/transport/http_server.py
+++ b/src/laburnumpitch/transport/http_server.py
@@ -21,6 +21,10 @@
 MAX_CONNECTIONS = 4096
 """Maximum number of open connections; further ones are closed on arrival."""
 
+CLOSE_FLUSH_TIMEOUT_S = 0.25
+"""Timeout of sending what was written as the server closes; the process may be killed
+soon after."""
+
 RequestHandler = Callable[[HttpRequest, Responder], Awaitable[None]]
 
 
@@ -95,11 +99,19 @@
         await asyncio.sleep(0)
 
     async def close(self) -> None:
-        """Stop accepting and close every connection."""
+        """Stop accepting and close every connection.
+
+        What was written is sent first, for at most `CLOSE_FLUSH_TIMEOUT_S`.
+        """
         self.stop_accepting()
-        for task in list(self.connection_tasks):
+        for connection in self.connections:
+            connection.cancel()
+        tasks = list(self.connection_tasks)
+        if tasks:
+            await asyncio.wait(tasks, timeout=CLOSE_FLUSH_TIMEOUT_S)
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self.connection_tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def on_connection(
         self, reader: ConnectionReader, writer: asyncio.StreamWriter
@@ -128,11 +140,11 @@
         except Exception as error:
             end = error
             self.log.exception("connection_failed")
+        try:
+            await connection.close(end)
         finally:
-            connection.record_end(end)
             self.connection_tasks.discard(task)
             self.connections.discard(connection)
-            writer.close()
 
     async def serve_connection(self, connection: ServerConnection) -> None:
         """Answer the requests of one connection, one after another."""
--- a/src/laburnumpitch/transport/server_connection.py
+++ b/src/laburnumpitch/transport/server_connection.py
@@ -15,7 +15,7 @@
 from .connection_log import ConnectionLog, ConnectionPhase
 from .connection_reader import CHUNK_BYTES, ConnectionReader
 from .http_request import HttpRequest
-from .responder import Responder, WriteTimeoutError
+from .responder import WRITE_TIMEOUT_S, Responder, WriteTimeoutError
 from .server_limits import ServerLimits
 
 IDLE_MARGIN_S = 1.0
@@ -60,9 +60,18 @@
         self.phase = ConnectionPhase.IDLE
         self.responder = Responder(self.h11_connection, writer)
         """Answers the current or the next request."""
+        self.previous_responder = self.responder
+        self.task = asyncio.current_task()
         self.has_disconnected = False
         """Whether the client disconnected during an answer."""
 
+    @property
+    def last_answer(self) -> Responder:
+        """The last answer of which something was written."""
+        if self.responder.has_started:
+            return self.responder
+        return self.previous_responder
+
     def count_unread_bytes(self) -> int:
         """Return the number of bytes that have arrived and were not read.
 
@@ -85,21 +94,62 @@
             self.phase, self.reader.last_received_s, self.count_unread_bytes()
         )
 
+    def has_unanswered_request(self) -> bool:
+        """Whether a request was read whole, and its answer is not complete."""
+        return self.phase is ConnectionPhase.ANSWER and not self.responder.has_finished
+
     def record_end(self, error: BaseException | None) -> None:
         """Record that the connection ends.
 
         Args:
             error: What ended it; None if it was closed in order.
         """
-        responder = self.responder
         if isinstance(error, WriteTimeoutError):
             self.record_timeout()
-        if self.phase is ConnectionPhase.ANSWER and not responder.has_finished:
+        if self.has_unanswered_request():
             cause = type(error).__name__ if error else "no_answer"
             self.connection_log.record_unanswered(
-                cause, responder.sent_bytes, self.has_disconnected
+                cause, self.responder.sent_bytes, self.has_disconnected
             )
 
+    def cancel(self) -> None:
+        """Stop serving the connection; what was written is still sent."""
+        if self.phase is not ConnectionPhase.CLOSING:
+            self.task.cancel()
+
+    async def close(self, error: BaseException | None) -> None:
+        """Close the connection once the client has read what was written.
+
+        A client that reads nothing is given up after `WRITE_TIMEOUT_S`.
+
+        Args:
+            error: What ended the connection; None if it was closed in order.
+        """
+        self.record_end(error)
+        transport = self.writer.transport
+        has_unsent_answer = (
+            transport.get_write_buffer_size() > 0 and not self.has_unanswered_request()
+        )
+        sent_bytes = self.last_answer.sent_bytes
+        self.phase = ConnectionPhase.CLOSING
+        self.writer.close()
+        has_timed_out = isinstance(error, WriteTimeoutError)
+        is_lost = False
+        try:
+            async with asyncio.timeout(0 if has_timed_out else WRITE_TIMEOUT_S):
+                await self.writer.wait_closed()
+        except asyncio.TimeoutError:
+            if not has_timed_out:
+                self.record_timeout()
+        except OSError:
+            is_lost = True
+        finally:
+            has_unsent_data = transport.get_write_buffer_size() > 0
+            if has_unsent_data:
+                transport.abort()
+            if has_unsent_answer and (has_unsent_data or is_lost):
+                self.connection_log.record_unanswered("unsent", sent_bytes, is_lost)
+
     def raise_limits(self, limits: ServerLimits) -> None:
         """Let a wait that has begun have the limits that come into force.
 
@@ -122,6 +172,7 @@
         if connection.their_state is not h11.DONE:
             return False
         connection.start_next_cycle()
+        self.previous_responder = self.responder
         self.responder = Responder(connection, self.writer)
         return True
 
--- a/tests/transport/server_case.py
+++ b/tests/transport/server_case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import socket
 from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
@@ -47,10 +48,18 @@
     """Base of tests of a server on a loop with a jumping clock."""
 
     def run_async(self, coroutine: Coroutine[Any, Any, Result]) -> Result:
-        """Run a coroutine on a new loop, for `TEST_TIMEOUT_S` without the jumps."""
+        """Run a coroutine on a new loop, for `TEST_TIMEOUT_S` without the jumps.
+
+        A task that ended with an error that nobody saw fails the test.
+        """
+        unseen: list[dict[str, Any]] = []
         with asyncio.Runner(loop_factory=JumpingLoop) as runner:
             self.loop = runner.get_loop()
-            return runner.run(self.run_limited(coroutine))
+            self.loop.set_exception_handler(lambda _, context: unseen.append(context))
+            result = runner.run(self.run_limited(coroutine))
+            gc.collect()
+        self.assertEqual([], unseen)
+        return result
 
     async def run_limited(self, coroutine: Coroutine[Any, Any, Result]) -> Result:
         """Run a coroutine; `jump` moves its time limit."""
@@ -70,12 +79,22 @@
         await server.start()
         return server
 
-    async def connect(self, server: HttpServer) -> socket.socket:
-        """Return a client's socket once the server has accepted its connection."""
+    async def connect(
+        self, server: HttpServer, receive_buffer_bytes: int = 0
+    ) -> socket.socket:
+        """Return a client's socket once the server has accepted its connection.
+
+        Args:
+            server: The server.
+            receive_buffer_bytes: Size of the client's receive buffer; 0 for the
+                system's.
+        """
         client = socket.socket()
         self.addCleanup(client.close)
         client.setblocking(False)
         client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if receive_buffer_bytes:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
         await self.loop.sock_connect(client, (HOST, server.port))
         client_address = client.getsockname()
         await self.wait_until(
