Keep refusals from being destroyed by a reset

A client whose request was refused before it had sent all of it (413, 431, 400, 408) received a reset instead of the refusal, and could not know that the request had not run.

Cause: the server closed a socket with unread data, or one on which more data arrived; the kernel answers that with a reset, which can overtake the answer.

Ruled out: an answer that was not written (it lay in the socket), and requests that are read whole, on whose connections nothing is unread.

After a refusal, and where data lies unread after an answer, the server ends its answer, and discards what the client sends until it closes, for at most LINGER_TIMEOUT_S and MAX_LINGER_BYTES.

--- a/src/laburnumpitch/transport/http_server.py
+++ b/src/laburnumpitch/transport/http_server.py
@@ -153,15 +153,15 @@
             try:
                 request = await connection.read_request()
             except TooLargeError as error:
-                await self.reject(responder, error.status, error.code)
+                await self.reject(connection, error.status, error.code)
                 return
             except h11.RemoteProtocolError as error:
-                await self.reject(responder, error.error_status_hint, "malformed")
+                await self.reject(connection, error.error_status_hint, "malformed")
                 return
             except asyncio.TimeoutError:
                 connection.record_timeout()
                 if connection.has_partial_request():
-                    await self.reject(responder, 408, "too_slow")
+                    await self.reject(connection, 408, "too_slow")
                 return
             if request is None:
                 return
@@ -174,12 +174,15 @@
             if not responder.has_finished or not connection.prepare_next_request():
                 return
 
-    async def reject(self, responder: Responder, status: int, code: str) -> None:
+    async def reject(
+        self, connection: ServerConnection, status: int, code: str
+    ) -> None:
         """Answer a request that could not be read, which was thus not run."""
-        if responder.connection.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+        connection.must_linger = True
+        if connection.h11_connection.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             body = b'{"error":{"code":"%s","run":"not_run"}}' % code.encode()
             headers = [("content-type", "application/json"), ("connection", "close")]
-            await responder.send(status, headers, body)
+            await connection.responder.send(status, headers, body)
 
     async def run_handler(
         self, request: HttpRequest, responder: Responder, connection: ServerConnection
--- a/src/laburnumpitch/transport/server_connection.py
+++ b/src/laburnumpitch/transport/server_connection.py
@@ -24,6 +24,12 @@
 BODY_TIMEOUT_S = 30.0
 """Timeout of a request's complete body, from the end of the headers."""
 
+LINGER_TIMEOUT_S = 2.0
+"""Time for which a client may go on to send after the last answer."""
+
+MAX_LINGER_BYTES = 16 * 1024 * 1024
+"""Bytes that a client may go on to send: twice the largest body by default."""
+
 
 class ServerConnection:
     """A client's connection.
@@ -62,6 +68,8 @@
         """Answers the current or the next request."""
         self.previous_responder = self.responder
         self.task = asyncio.current_task()
+        self.must_linger = False
+        """Whether the client may go on to send a request that was refused."""
         self.has_disconnected = False
         """Whether the client disconnected during an answer."""
 
@@ -131,11 +139,15 @@
             transport.get_write_buffer_size() > 0 and not self.has_unanswered_request()
         )
         sent_bytes = self.last_answer.sent_bytes
+        is_idle = self.phase is ConnectionPhase.IDLE
         self.phase = ConnectionPhase.CLOSING
-        self.writer.close()
         has_timed_out = isinstance(error, WriteTimeoutError)
         is_lost = False
         try:
+            # A request that came to an idle connection too late stays unread.
+            if self.must_linger or not is_idle and self.count_unread_bytes():
+                await self.linger()
+            self.writer.close()
             async with asyncio.timeout(0 if has_timed_out else WRITE_TIMEOUT_S):
                 await self.writer.wait_closed()
         except asyncio.TimeoutError:
@@ -144,12 +156,31 @@
         except OSError:
             is_lost = True
         finally:
+            self.writer.close()
             has_unsent_data = transport.get_write_buffer_size() > 0
             if has_unsent_data:
                 transport.abort()
             if has_unsent_answer and (has_unsent_data or is_lost):
                 self.connection_log.record_unanswered("unsent", sent_bytes, is_lost)
 
+    async def linger(self) -> None:
+        """End the answer, then discard what the client sends until it closes too.
+
+        To close a socket that has unread data, or receives more, resets the connection;
+        that may destroy an answer that the client has not read.
+        """
+        if self.writer.is_closing() or self.reader.at_eof():
+            return
+        discarded_bytes = 0
+        with contextlib.suppress(asyncio.TimeoutError):
+            async with asyncio.timeout(LINGER_TIMEOUT_S):
+                self.writer.write_eof()
+                while discarded_bytes < MAX_LINGER_BYTES:
+                    data = await self.reader.read(CHUNK_BYTES)
+                    if not data:
+                        return
+                    discarded_bytes += len(data)
+
     def raise_limits(self, limits: ServerLimits) -> None:
         """Let a wait that has begun have the limits that come into force.
 
--- a/tests/transport/test_unsent_answers.py
+++ b/tests/transport/test_unsent_answers.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 
 from structlog.testing import capture_logs
 
-from laburnumpitch.transport import http_server
+from laburnumpitch.transport import http_server, server_connection
 from laburnumpitch.transport.http_server import HttpRequest, HttpServer, Responder
 from laburnumpitch.transport.server_connection import ServerConnection
 
-from .server_case import REQUEST, TEST_TIMEOUT_S, ServerCase
+from .server_case import RECEIVE_BYTES, REQUEST, TEST_TIMEOUT_S, ServerCase
 
 SOCKET_BUFFER_BYTES = 4096
 """Size of the socket buffers, so that an answer does not fit into them."""
@@ -22,6 +23,10 @@
 LONG_ANSWER = b"x" * 60 * 1024
 """Fits into the buffer of the transport, where it may wait without blocking."""
 
+SENT_BYTES = 8 * 1024 * 1024
+"""More than the socket buffers hold, so that it is sent only if it is read."""
+
+LARGE_DATA = b"x" * SENT_BYTES
 LONG_S = 1000.0
 """Longer than every timeout of a server."""
 
@@ -31,6 +36,11 @@
     await responder.send(200, [], LONG_ANSWER)
 
 
+def make_request(header: bytes, body: bytes) -> bytes:
+    """Return a request with some header lines."""
+    return b"POST / HTTP/1.1\r\nHost: a\r\n" + header + b"\r\n\r\n" + body
+
+
 class UnsentCase(ServerCase):
     """Base of tests of an answer that does not fit into the socket buffers."""
 
@@ -125,3 +135,128 @@
             self.run_async(run())
         causes = [line.get("cause") for line in lines]
         self.assertIn("unsent", causes)
+
+
+class RefusedClientTest(ServerCase):
+    """A client that sends a whole request at once, reads its refusal and closes."""
+
+    scenarios = [
+        (
+            "large_body",
+            {
+                "limits": {"body_bytes": 1000},
+                "data": make_request(b"Content-Length: %d" % SENT_BYTES, LARGE_DATA),
+                "status": b"413",
+            },
+        ),
+        (
+            "large_chunk",
+            {
+                "limits": {"body_bytes": 1000},
+                "data": make_request(
+                    b"Transfer-Encoding: chunked", b"%x\r\n" % SENT_BYTES + LARGE_DATA
+                ),
+                "status": b"413",
+            },
+        ),
+        (
+            "large_headers",
+            {
+                "limits": {"header_bytes": 1000},
+                "data": b"POST / HTTP/1.1\r\nx: " + LARGE_DATA,
+                "status": b"431",
+            },
+        ),
+        (
+            "malformed",
+            {
+                "limits": {},
+                "data": b"nonsense\r\n\r\n" + LARGE_DATA,
+                "status": b"400",
+            },
+        ),
+        (
+            "ambiguous_length",
+            {
+                "limits": {},
+                "data": make_request(
+                    b"Content-Length: 4\r\nTransfer-Encoding: chunked", LARGE_DATA
+                ),
+                "status": b"400",
+            },
+        ),
+    ]
+
+    def test_refusal_arrives(self) -> None:
+        """The connection is not reset while the client sends, or before it reads."""
+
+        async def run() -> bytes:
+            server = await self.start_server(**self.limits)
+            client = await self.connect(server)
+            await self.loop.sock_sendall(client, self.data)
+            received = await self.read_answer(client, b"never")
+            client.close()
+            await self.wait_until(lambda: not server.connection_tasks)
+            await server.close()
+            return received
+
+        received = self.run_async(run())
+        self.assertTrue(received.startswith(b"HTTP/1.1 " + self.status), received)
+        self.assertTrue(received.endswith(b"}"), received)
+
+
+class LingeringTest(ServerCase):
+    """A client that goes on to send, or stays connected, after a refusal."""
+
+    async def get_refused_client(self) -> tuple[HttpServer, socket.socket]:
+        """Return a connection on which a body without end was refused."""
+        server = await self.start_server(body_bytes=1000)
+        client = await self.connect(server)
+        client.sendall(make_request(b"Content-Length: %d" % 2**40, b"x" * 2000))
+        await self.read_answer(client, b"}")
+        return server, client
+
+    def test_sending_client(self) -> None:
+        """The connection ends after a number of bytes."""
+        self.patch(server_connection, "LINGER_TIMEOUT_S", LONG_S)
+
+        async def run() -> None:
+            server, client = await self.get_refused_client()
+            with contextlib.suppress(ConnectionError):
+                while True:
+                    await self.loop.sock_sendall(client, b"x" * RECEIVE_BYTES)
+            await self.wait_until(lambda: not server.connection_tasks)
+            await server.close()
+
+        self.run_async(run())
+
+    def test_silent_client(self) -> None:
+        """The connection ends after a time."""
+
+        async def run() -> None:
+            server, _ = await self.get_refused_client()
+            self.jump(LONG_S)
+            await self.wait_until(lambda: not server.connection_tasks)
+            await server.close()
+
+        self.run_async(run())
+
+
+class UnreadRequestTest(ServerCase):
+    """A request that arrives at an idle connection as the server closes."""
+
+    def test_request_is_not_read(self) -> None:
+        """It is not read and discarded, so that it counts as not taken."""
+
+        async def run() -> bool:
+            server = await self.start_server()
+            client = await self.connect(server)
+            await self.exchange(client)
+            (connection,) = server.connections
+            await self.wait_until(lambda: not connection.responder.has_started)
+            received_before_s = connection.reader.last_received_s
+            client.sendall(REQUEST)
+            await server.close()
+            return connection.reader.last_received_s > received_before_s
+
+        self.assertFalse(self.run_async(run()))
