--- a/tests/transport/test_draining.py
+++ b/tests/transport/test_draining.py
@@ -106,9 +106,9 @@
 
 
 class CrossingRequestTest(ServerCase):
-    """A request that arrives some passes of the event loop after `close_idle` began."""
+    """A request that arrives some passes of the event loop around `close_idle`."""
 
-    scenarios = [(f"pass_{passes}", {"passes": passes}) for passes in range(6)]
+    scenarios = [(f"pass_{passes}", {"passes": passes}) for passes in range(-3, 6)]
 
     def test_what_was_read_is_answered(self) -> None:
         """A request that the server has read from its socket is answered."""
@@ -121,11 +121,14 @@
             await self.wait_until(lambda: not connection.responder.has_started)
             received_before_s = connection.reader.last_received_s
             server.stop_accepting()
-            close_task = asyncio.create_task(server.close_idle())
-            for _ in range(self.passes):
-                await asyncio.sleep(0)
-            with contextlib.suppress(ConnectionError):
+            if self.passes < 0:
                 client.sendall(REQUEST)
+                await self.wait_passes(-self.passes)
+            close_task = asyncio.create_task(server.close_idle())
+            if self.passes >= 0:
+                await self.wait_passes(self.passes)
+                with contextlib.suppress(ConnectionError):
+                    client.sendall(REQUEST)
             received = b""
             with contextlib.suppress(ConnectionError):
                 received = await self.read_answer(client, ANSWER_BODY)
@@ -135,3 +138,8 @@
 
         received, has_arrived = self.run_async(run())
         self.assertEqual(has_arrived, received.endswith(ANSWER_BODY), received)
+
+    async def wait_passes(self, passes: int) -> None:
+        """Wait for a number of passes of the event loop."""
+        for _ in range(passes):
+            await asyncio.sleep(0)
