--- a/tests/transport/test_connection_timeouts.py
+++ b/tests/transport/test_connection_timeouts.py
@@ -5,6 +5,8 @@
 import asyncio
 import contextlib
 import socket
+import struct
+from unittest import mock
 
 from testscenarios import multiply_scenarios
 
@@ -72,6 +74,30 @@
         self.assertIn(b"HTTP/1.1 200 ", self.run_async(run()))
 
 
+class UncountedDataTest(ServerCase):
+    """Data lies in the socket, on a system that does not tell how much it is."""
+
+    def test_connection_is_not_idle(self) -> None:
+        """That the socket can be read is enough."""
+        no_bytes = struct.pack("i", 0)
+        ioctl = "laburnumpitch.transport._socket_state.fcntl.ioctl"
+
+        async def run() -> tuple[bool, bool]:
+            server = await self.start_server()
+            client = await self.connect(server)
+            await self.exchange(client)
+            (connection,) = server.connections
+            await self.wait_until(lambda: not connection.responder.has_started)
+            with mock.patch(ioctl, return_value=no_bytes):
+                was_idle = connection.is_idle()
+                client.sendall(REQUEST)
+                is_idle = connection.is_idle()
+            await server.close()
+            return was_idle, is_idle
+
+        self.assertEqual((True, False), self.run_async(run()))
+
+
 class MissingDataTest(TimeoutCase):
     """A client that sends nothing more after a part of a request."""
 
