Pass on header values that are not ASCII

A whole request ended without an answer if one of its headers, a header of the target's answer or the name of its organisation was not ASCII: the client saw its connection closed, and the log had connection_failed with a UnicodeEncodeError. A request with such an Attempt-Id did not even get a refusal.

Cause: headers are read as latin-1, and h11 encodes text as ASCII when a header is sent on. HTTP allows bytes above 0x7f in a value. The error is no LaburnumpitchError, so RelayApi refused nothing.

Headers are now encoded as they were decoded, so their bytes stay the same. The name of an organisation comes from JSON and is sent in UTF-8. Text that still cannot be sent (none is known) counts as a request that was not sent.

Ruled out: the request line, in which h11 accepts ASCII only.

--- a/src/laburnumpitch/platform/http_headers.py
+++ b/src/laburnumpitch/platform/http_headers.py
@@ -14,6 +14,7 @@
     RequestMetadata,
     TargetRequest,
 )
+from ..transport.header_bytes import embed_text
 from ..transport.http_client import HOP_BY_HOP_HEADERS
 from ..transport.http_server import Headers, HttpRequest
 
@@ -209,7 +210,7 @@
             )
         )
         if target_request.organisation:
-            headers.append((TENANT, target_request.organisation))
+            headers.append((TENANT, embed_text(target_request.organisation)))
         if target_request.weight_version is not None:
             headers.append((EXPECT_VERSION, str(target_request.weight_version)))
         if target_request.context is not None:
--- a/src/laburnumpitch/transport/http_client.py
+++ b/src/laburnumpitch/transport/http_client.py
@@ -15,6 +15,7 @@
 from ..errors import MalformedAnswerError, TargetError, TargetTimeoutError
 from ._client_pool import ClientPool
 from .body_budget import BodyBudget
+from .header_bytes import decode_headers, encode_headers
 from .http_connection import HttpConnection
 from .http_server import Headers
 
@@ -89,10 +90,7 @@
         self.client = client
         self.connection = connection
         self.status: int = head.status_code
-        self.headers: Headers = [
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in head.headers
-        ]
+        self.headers: Headers = decode_headers(head.headers)
         self.gap_timeout_s = gap_timeout_s
         self.deadline_s = deadline_s
         self.is_complete = False
@@ -326,12 +324,14 @@
             all_headers.append(("content-length", str(len(body))))
         try:
             connection.send_event(
-                h11.Request(method=method, target=path, headers=all_headers)
+                h11.Request(
+                    method=method, target=path, headers=encode_headers(all_headers)
+                )
             )
             if body:
                 connection.send_event(h11.Data(data=body))
             connection.send_event(h11.EndOfMessage())
-        except h11.LocalProtocolError as error:
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
             raise MalformedAnswerError(
                 f"invalid request: {error}", sent=False
             ) from error
--- a/src/laburnumpitch/transport/responder.py
+++ b/src/laburnumpitch/transport/responder.py
@@ -6,6 +6,7 @@
 
 import h11
 
+from .header_bytes import encode_headers
 from .http_request import Headers
 
 WRITE_TIMEOUT_S = 30.0
@@ -45,8 +46,9 @@
         """Send status and headers; without a Content-Length the body is chunked."""
         if self.must_close:
             headers = [*headers, ("connection", "close")]
+        head = h11.Response(status_code=status, headers=encode_headers(headers))
         self.has_started = True
-        self.write_event(h11.Response(status_code=status, headers=headers))
+        self.write_event(head)
 
     async def write(self, data: bytes) -> None:
         """Send a part of the body.
--- a/src/laburnumpitch/transport/server_connection.py
+++ b/src/laburnumpitch/transport/server_connection.py
@@ -14,6 +14,7 @@
 from ._socket_state import count_unread_bytes
 from .connection_log import ConnectionLog, ConnectionPhase
 from .connection_reader import CHUNK_BYTES, ConnectionReader
+from .header_bytes import decode_headers
 from .http_request import HttpRequest
 from .responder import WRITE_TIMEOUT_S, Responder, WriteTimeoutError
 from .server_limits import ServerLimits
@@ -224,10 +225,7 @@
         body = await self.read_body(self.loop.time() + BODY_TIMEOUT_S)
         self.phase = ConnectionPhase.ANSWER
         path, _, query = head.target.decode("latin-1").partition("?")
-        headers = [
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in head.headers
-        ]
+        headers = decode_headers(head.headers)
         method = head.method.decode("latin-1")
         return HttpRequest(method, path, query, headers, body, received_at_s)
 
--- a/tests/relay/relay_case.py
+++ b/tests/relay/relay_case.py
@@ -189,6 +189,7 @@
     seal: str = "s1",
     extra: str = "",
     length: int | None = None,
+    encoding: str = "utf-8",
 ) -> bytes:
     """Return an answer of a target."""
     lines = [f"HTTP/1.1 {status} X", f"Attempt-Id: {request_id}"]
@@ -197,7 +198,7 @@
     if extra:
         lines.append(extra)
     lines.append(f"Content-Length: {len(body) if length is None else length}")
-    return "\r\n".join([*lines, "", ""]).encode() + body
+    return "\r\n".join([*lines, "", ""]).encode(encoding) + body
 
 
 class RelayCase(testtools.TestCase):
@@ -265,6 +266,13 @@
         await self.server.start()
         self.client = HttpClient(f"{HOST}:{self.server.port}")
 
+    def change_configuration(self, **changes) -> None:
+        """Put a changed configuration in force."""
+        fleet_view = self.services.fleet_view
+        fleet_view.configuration = replace(fleet_view.configuration, **changes)
+        for callback in fleet_view.on_change:
+            callback()
+
     async def record_notice(self, notice: object, timeout_s: float) -> None:
         """Record a notice to the leader."""
         self.notices.append(notice)
--- /dev/null
+++ b/tests/relay/test_unanswered_requests.py
@@ -0,0 +1,107 @@
+"""Requests that ended without an answer, each for a reason that was found."""
+
+from __future__ import annotations
+
+import asyncio
+
+from laburnumpitch.relay.configuration import Organisation
+
+from .relay_case import API_KEY, HOST, REQUEST_ID, RelayCase, make_answer
+
+OBS_TEXT = "caf\xe9"
+"""A header value with a byte that is not ASCII, as HTTP allows."""
+
+
+class RawClientCase(RelayCase):
+    """Sends requests as bytes, and reads the answers as bytes."""
+
+    async def exchange(
+        self, route: str, method: str = "POST", headers: dict[str, str] | None = None
+    ) -> bytes:
+        """Send a request and return all that the relay sends before it closes."""
+        reader, writer = await asyncio.open_connection(HOST, self.server.port)
+        writer.write(self.make_request(route, method, headers or {}, "close"))
+        try:
+            return await reader.read()
+        finally:
+            writer.close()
+
+    def make_request(
+        self, route: str, method: str, headers: dict[str, str], connection: str
+    ) -> bytes:
+        """Return the bytes of a request."""
+        all_headers = {
+            "Host": HOST,
+            "Attempt-Id": REQUEST_ID,
+            "Authorization": f"Bearer {API_KEY}",
+            "Deadline-Ms": "1500",
+            "Content-Length": "4",
+            "Connection": connection,
+            **headers,
+        }
+        lines = [f"{name}: {value}" for name, value in all_headers.items()]
+        head = "\r\n".join([f"{method} /{route}/x HTTP/1.1", *lines, "", ""])
+        return head.encode("latin-1") + b"body"
+
+    def assert_status(self, status: int, answer: bytes) -> None:
+        """Check the status of an answer."""
+        self.assertTrue(answer.startswith(f"HTTP/1.1 {status} ".encode()), answer)
+
+
+class HeaderBytesTest(RawClientCase):
+    """Header values with bytes that are not ASCII."""
+
+    scenarios = [
+        ("client", {"headers": {"X-Name": OBS_TEXT}, "extra": ""}),
+        ("client_host", {"headers": {"Host": f"{HOST}:{OBS_TEXT}"}, "extra": ""}),
+        ("target", {"headers": {}, "extra": f"X-Name: {OBS_TEXT}"}),
+    ]
+
+    def test_passed_on(self) -> None:
+        """The request is answered, and both sides get the value's bytes unchanged."""
+        answer = make_answer(extra=self.extra, encoding="latin-1")
+
+        async def scenario() -> None:
+            for route in ("once", "read", "stream"):
+                received = await self.exchange(route, headers=self.headers)
+                self.assert_status(200, received)
+                sides = self.targets[0].requests[-1] + received
+                self.assertIn(OBS_TEXT.encode("latin-1"), sides)
+
+        self.run_relay([[answer] * 3], scenario)
+
+
+class RefusalBytesTest(RawClientCase):
+    """Refusals of requests whose headers are not ASCII."""
+
+    def test_in_a_refusal(self) -> None:
+        """A refusal names the attempt by the bytes of its identifier."""
+
+        async def scenario() -> None:
+            received = await self.exchange("nowhere", headers={"Attempt-Id": OBS_TEXT})
+            self.assert_status(404, received)
+            self.assertIn(OBS_TEXT.encode("latin-1"), received)
+
+        self.run_relay([[]], scenario)
+
+
+class OrganisationNameTest(RawClientCase):
+    """Names of organisations that are not ASCII."""
+
+    scenarios = [
+        ("latin", {"name": "\xc5ker\xf6"}),
+        ("wider", {"name": "\u5e97 7"}),
+    ]
+
+    def test_sent_as_utf8(self) -> None:
+        """The target gets the name in the encoding of the configuration."""
+
+        async def scenario() -> None:
+            self.change_configuration(
+                organisations=(Organisation(self.name, (API_KEY,), None, False),)
+            )
+            self.assert_status(200, await self.exchange("once"))
+            line = f"tenant: {self.name}\r\n".encode()
+            self.assertIn(line.lower(), self.targets[0].requests[0].lower())
+
+        self.run_relay([[make_answer()]], scenario)
