Keep the connection open after a refusal to HEAD

A client whose HEAD request was refused, or failed at its target, got the head of the answer; then its connection was closed without notice. A request that it sent on the same connection next was read by nobody and got no answer. Nothing was logged.

Cause: refusals have a body. An answer to HEAD has none, so h11 raises LocalProtocolError when the body is written, which HttpServer swallows. Answers of targets to HEAD, and to any method with status 204 or 304, arrive without a body; the tests of those passed before the change and guard them now.

Responder now knows the request's method and leaves out the body.

Before the change, BodilessAnswerTest: head_refused and head_failed failed (the next request got an empty answer), the other six passed; now all eight pass.

--- a/src/laburnumpitch/transport/http_server.py
+++ b/src/laburnumpitch/transport/http_server.py
@@ -25,6 +25,8 @@
 """Timeout of sending what was written as the server closes; the process may be killed
 soon after."""
 
+HEAD_METHOD = "HEAD"
+
 RequestHandler = Callable[[HttpRequest, Responder], Awaitable[None]]
 
 
@@ -166,6 +168,7 @@
             if request is None:
                 return
             responder.must_close = self.is_draining
+            responder.is_head = request.method == HEAD_METHOD
             self.active_requests += 1
             try:
                 await self.run_handler(request, responder, connection)
--- a/src/laburnumpitch/transport/responder.py
+++ b/src/laburnumpitch/transport/responder.py
@@ -33,6 +33,8 @@
         self.has_started = False
         self.has_finished = False
         self.must_close = False
+        self.is_head = False
+        """Whether the request's method is HEAD, whose answers have no body."""
         self.written_bytes = 0
         """Bytes of the answer, with its head and framing."""
 
@@ -56,7 +58,7 @@
         Raises:
             ConnectionError: If the client has disconnected or reads nothing.
         """
-        self.write_event(h11.Data(data=data))
+        self.write_data(data)
         await self.drain()
 
     async def finish(self) -> None:
@@ -68,10 +70,14 @@
     async def send(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete answer."""
         await self.start(status, [*headers, ("content-length", str(len(body)))])
-        if body:
-            self.write_event(h11.Data(data=body))
+        self.write_data(body)
         await self.finish()
 
+    def write_data(self, data: bytes) -> None:
+        """Queue a part of the body, unless the answer has none."""
+        if data and not self.is_head:
+            self.write_event(h11.Data(data=data))
+
     def write_event(self, event: h11.Event) -> None:
         """Encode an h11 event and queue it for sending."""
         data = self.connection.send(event)
--- a/tests/relay/test_unanswered_requests.py
+++ b/tests/relay/test_unanswered_requests.py
@@ -105,3 +105,55 @@
             self.assertIn(line.lower(), self.targets[0].requests[0].lower())
 
         self.run_relay([[make_answer()]], scenario)
+
+
+class BodilessAnswerTest(RawClientCase):
+    """Answers that have no body by their status, or by the request's method."""
+
+    scenarios = [
+        ("head", {"script": make_answer(body=b"", length=5), "status": 200}),
+        (
+            "head_of_a_stream",
+            {
+                "route": "stream",
+                "script": make_answer(body=b"", length=5),
+                "status": 200,
+            },
+        ),
+        ("head_of_an_error", {"script": make_answer(500, b""), "status": 500}),
+        ("head_refused", {"route": "nowhere", "status": 404}),
+        ("head_failed", {"script": b"\0\1\r\n\r\n", "status": 502}),
+        ("empty", {"method": "GET", "script": make_answer(204, b""), "status": 204}),
+        (
+            "empty_stream",
+            {
+                "method": "GET",
+                "route": "stream",
+                "script": make_answer(204, b""),
+                "status": 204,
+            },
+        ),
+        (
+            "unchanged",
+            {"method": "GET", "script": make_answer(304, b"", length=5), "status": 304},
+        ),
+    ]
+    method = "HEAD"
+    route = "once"
+    script = b""
+
+    def test_connection_goes_on(self) -> None:
+        """The client gets the status, no body, and the next answer after it."""
+        scripts = [self.script, make_answer()] if self.script else [make_answer()]
+
+        async def scenario() -> None:
+            reader, writer = await asyncio.open_connection(HOST, self.server.port)
+            writer.write(self.make_request(self.route, self.method, {}, "keep-alive"))
+            self.assert_status(self.status, await reader.readuntil(b"\r\n\r\n"))
+            writer.write(self.make_request("once", "POST", {}, "close"))
+            received = await reader.read()
+            self.assert_status(200, received)
+            self.assertTrue(received.endswith(b"whole"))
+            writer.close()
+
+        self.run_relay([scripts], scenario)
