Count an invalid target address as unreachable

A whole request ended without an answer if it was sent to a target that had announced an address that is not valid: the connection was closed and connection_failed logged. It was also sent to no other target, although none had received a byte of it.

Cause: asyncio raises OverflowError for a port out of range, and ValueError or its subclass UnicodeError for names that cannot be resolved; HttpClient expected OSError, and parsed the port in its constructor.

The address is now parsed when connecting, and those errors are TargetError with sent=False, as for an address where nothing listens. Ruled out: the pool, which keeps a client of such an address without harm until its target is gone.

Before the change, OddAddressTest: 0 of 6 passed (OverflowError, ValueError and UnicodeError, an empty answer each); now 6 pass.

--- a/src/laburnumpitch/transport/http_client.py
+++ b/src/laburnumpitch/transport/http_client.py
@@ -161,9 +161,6 @@
 
     def __init__(self, address: str) -> None:
         self.address = address
-        host, _, port = address.rpartition(":")
-        self.host = host
-        self.port = int(port)
         self.idle_connections: list[HttpConnection] = []
         self.is_closed = False
 
@@ -180,17 +177,19 @@
         Raises:
             TargetError: If connecting fails; `sent` is false, as nothing was written.
         """
+        host, _, port = self.address.rpartition(":")
         try:
             loop = asyncio.get_running_loop()
             # asyncio.wait_for would lose a cancellation that arrives together with
             # the result.
             async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: HttpConnection(loop), self.host, self.port
+                    lambda: HttpConnection(loop), host, int(port)
                 )
         except asyncio.TimeoutError as error:
             raise TargetTimeoutError("connecting timed out", sent=False) from error
-        except OSError as error:
+        except (OSError, OverflowError, ValueError) as error:
+            # The last two are raised for an address that is not valid.
             raise TargetError(f"connecting failed: {error}", sent=False) from error
         return connection
 
--- a/tests/relay/test_unanswered_requests.py
+++ b/tests/relay/test_unanswered_requests.py
@@ -4,9 +4,10 @@
 
 import asyncio
 
+from laburnumpitch.fleet.messages import TargetRecord
 from laburnumpitch.relay.configuration import Organisation
 
-from .relay_case import API_KEY, HOST, REQUEST_ID, RelayCase, make_answer
+from .relay_case import API_KEY, HOST, REQUEST_ID, SERVICE, RelayCase, make_answer
 
 OBS_TEXT = "caf\xe9"
 """A header value with a byte that is not ASCII, as HTTP allows."""
@@ -157,3 +158,28 @@
             writer.close()
 
         self.run_relay([scripts], scenario)
+
+
+class OddAddressTest(RawClientCase):
+    """Targets that announced an address to which nothing can connect."""
+
+    scenarios = [
+        ("port_out_of_range", {"address": f"{HOST}:70000"}),
+        ("port_of_many_digits", {"address": f"{HOST}:{'9' * 5000}"}),
+        ("no_port", {"address": HOST}),
+        ("empty_label", {"address": "a..b:80"}),
+        ("long_label", {"address": f"{'a' * 70}.b:80"}),
+        ("null", {"address": f"{HOST}\0:80"}),
+    ]
+
+    def test_next_target_answers(self) -> None:
+        """The request was not sent there, so another target may answer any request."""
+
+        async def scenario() -> None:
+            record = TargetRecord("t0", SERVICE, self.address, "dc", 1, 2, 4)
+            self.services.fleet_view.targets.put(record, 0.0)
+            self.change_configuration()
+            for route in ("once", "stream"):
+                self.assert_status(200, await self.exchange(route))
+
+        self.run_relay([[], [make_answer()] * 2], scenario)
