Bound the token counts that nodes send each other

A whole request whose Token-Usage or Prefix-Hash named a number of 20 digits or more ended without an answer: the connection was closed and connection_failed logged.

Cause: the placement call, and the node's load in its call to the leader, hold the number, and msgspec encodes integers of 64 bits only (OverflowError). By reading, the second of them also ends the task that follows the leader; that was not run.

Counts above 10**9 now count as that, so that their sums fit. The header itself goes to the target unchanged, which is the one to reject what is larger than its memory. Refusing with 400 was ruled out: such a request is to be rejected like any other that does not fit.

--- a/src/laburnumpitch/platform/http_headers.py
+++ b/src/laburnumpitch/platform/http_headers.py
@@ -93,6 +93,10 @@
 MAX_REQUEST_PRIORITY = 9
 """Largest priority value that is sent to a target; 0 is served first."""
 
+MAX_TOKENS = 10**9
+"""Largest number of tokens that counts; more than any engine's memory. Sums of it fit
+into the integers of messages between nodes."""
+
 NO_STORE_ADDRESS = "-"
 """Stands for a piece that is not read from or saved at a store."""
 
@@ -106,7 +110,7 @@
 
 
 def parse_count(text: str) -> int:
-    """Parse a number of tokens.
+    """Parse a number of tokens; a larger one than `MAX_TOKENS` counts as that.
 
     Raises:
         ValueError: If it is not an integer, or negative.
@@ -114,7 +118,7 @@
     count = int(text)
     if count < 0:
         raise ValueError(f"negative number of tokens: {count}")
-    return count
+    return min(count, MAX_TOKENS)
 
 
 def parse_timeout_s(text: str) -> float:
--- a/tests/relay/test_unanswered_requests.py
+++ b/tests/relay/test_unanswered_requests.py
@@ -3,11 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 from laburnumpitch.fleet.messages import TargetRecord
 from laburnumpitch.relay.configuration import Organisation
-
-from .relay_case import API_KEY, HOST, REQUEST_ID, SERVICE, RelayCase, make_answer
+from laburnumpitch.transport.codec import encode
+
+from .relay_case import (
+    API_KEY,
+    CONFIGURATION,
+    HOST,
+    REQUEST_ID,
+    SERVICE,
+    RelayCase,
+    make_answer,
+)
 
 OBS_TEXT = "caf\xe9"
 """A header value with a byte that is not ASCII, as HTTP allows."""
@@ -183,3 +193,52 @@
                 self.assert_status(200, await self.exchange(route))
 
         self.run_relay([[], [make_answer()] * 2], scenario)
+
+
+class EncodingSource:
+    """A placement source that encodes each call, as for another node, and the loads.
+
+    Args:
+        statistics: The node's statistics, whose loads go to the leader.
+    """
+
+    def __init__(self, statistics) -> None:
+        self.statistics = statistics
+
+    async def request_placement(self, call) -> None:
+        """Return no answer."""
+        encode(call)
+        loads = [encode(load) for load in self.statistics.get_loads().values()]
+        assert all(loads)
+
+
+class LargeNumberTest(RawClientCase):
+    """Headers with numbers that no engine's memory or version reaches."""
+
+    scenarios = [
+        ("tokens", {"headers": {"Token-Usage": f"{'9' * 20},1"}}),
+        ("output_tokens", {"headers": {"Token-Usage": f"1,{'9' * 20}"}}),
+        ("tokens_of_many_digits", {"headers": {"Token-Usage": f"{'9' * 400},1"}}),
+        ("piece", {"headers": {"Prefix-Hash": f"a:{'9' * 400},b:1"}}),
+    ]
+    headers = {}
+    extra = ""
+
+    def test_target_decides(self) -> None:
+        """The request is answered by its target, which gets the numbers unchanged."""
+
+        async def scenario() -> None:
+            dispatcher = self.services.dispatcher
+            dispatcher.placement_source = EncodingSource(self.services.statistics)
+            routes = [replace(r, has_context=True) for r in CONFIGURATION.routes]
+            self.change_configuration(routes=tuple(routes))
+            answers = await asyncio.gather(
+                *(self.exchange("once", headers=self.headers) for _ in range(2))
+            )
+            for answer in answers:
+                self.assert_status(200, answer)
+            for value in self.headers.values():
+                self.assertIn(value.encode(), self.targets[0].requests[0])
+
+        answer = make_answer(extra=self.extra)
+        self.run_relay([[answer, answer]], scenario)
