Ignore weight versions that are not numbers of 64 bits

A whole request ended without an answer if its target's answer had a Weight-Versions header of more than 4300 digits: Python refuses to convert it (ValueError), the connection was closed and connection_failed logged. The target had run the request.

A version of more than 18 digits is now none, like one that is not a number, and the answer is delivered.

Before the change, LargeNumberTest (target_version) failed with an empty answer; now it passes.

--- a/src/laburnumpitch/platform/http_headers.py
+++ b/src/laburnumpitch/platform/http_headers.py
@@ -97,6 +97,9 @@
 """Largest number of tokens that counts; more than any engine's memory. Sums of it fit
 into the integers of messages between nodes."""
 
+MAX_VERSION_DIGITS = 18
+"""Largest number of digits of a weight version; any fits into 64 bits."""
+
 NO_STORE_ADDRESS = "-"
 """Stands for a piece that is not read from or saved at a store."""
 
@@ -121,6 +124,13 @@
     return min(count, MAX_TOKENS)
 
 
+def parse_version(text: str) -> int | None:
+    """Parse a weight version; None if it is none."""
+    if not text.isdecimal() or len(text) > MAX_VERSION_DIGITS:
+        return None
+    return int(text)
+
+
 def parse_timeout_s(text: str) -> float:
     """Parse a time in milliseconds and return it in seconds.
 
@@ -226,7 +236,6 @@
     def read_answer(self, status: int, headers: Headers) -> AnswerMetadata:
         """Return what the headers of a target's answer state."""
         header_values = dict(headers)
-        version = header_values.get(WEIGHT_VERSIONS, "")
         return AnswerMetadata(
             request_id=header_values.get(ATTEMPT_ID, ""),
             is_not_run=NOT_EXECUTED in header_values or status == MISDIRECTED_STATUS,
@@ -234,7 +243,7 @@
             instance_id=header_values.get(INSTANCE_ID, ""),
             is_sealed=SERVER_SEAL in header_values,
             is_encoded=header_values.get("content-encoding", "identity") != "identity",
-            weight_version=int(version) if version.isdecimal() else None,
+            weight_version=parse_version(header_values.get(WEIGHT_VERSIONS, "")),
         )
 
     def make_answer_headers(self, headers: Headers) -> Headers:
--- a/tests/relay/test_unanswered_requests.py
+++ b/tests/relay/test_unanswered_requests.py
@@ -220,6 +220,7 @@
         ("output_tokens", {"headers": {"Token-Usage": f"1,{'9' * 20}"}}),
         ("tokens_of_many_digits", {"headers": {"Token-Usage": f"{'9' * 400},1"}}),
         ("piece", {"headers": {"Prefix-Hash": f"a:{'9' * 400},b:1"}}),
+        ("target_version", {"extra": f"Weight-Versions: {'9' * 5000}"}),
     ]
     headers = {}
     extra = ""
