Leave out managed stores without capacity or a link

After a change of the configuration that brought a managed store without kv_capacity or link_mbps (both may be left out, and are 0 then), every request with kept context ended without an answer, on any node and service: the connection was closed and connection_failed logged (ZeroDivisionError). It fits the report of a whole request without an answer beside a change of the configuration; whether it was the cause there is unknown.

Cause: sessions are spread over the stores by 1 / capacity, and the time of a transfer is size / link rate. The store's owner divides by the rate, too.

Such a store can serve no request. list_managed_stores, from which sessions, owners and assignments follow, leaves it out. Refusing the configuration was ruled out, as it is valid.

Before the change, UnusableStoreTest: 0 of 2 passed (ZeroDivisionError, empty answers); now 2 pass.

--- a/src/laburnumpitch/fleet/store_owners.py
+++ b/src/laburnumpitch/fleet/store_owners.py
@@ -16,11 +16,21 @@
 
 
 def list_managed_stores(configuration: RoutingConfiguration | None) -> list[StoreSpec]:
-    """Return the stores that free parts only on request; each needs an owner."""
+    """Return the stores that free parts only on request; each needs an owner.
+
+    Those without capacity or a link are left out, as no request can use them.
+    """
     if configuration is None:
         return []
     stores = [service.store for service in configuration.stores]
-    return [store for store in stores if store is not None and store.is_managed]
+    return [
+        store
+        for store in stores
+        if store is not None
+        and store.is_managed
+        and store.capacity_tokens > 0
+        and store.link_bytes_per_s > 0
+    ]
 
 
 class StoreOwners:
--- a/tests/relay/test_unanswered_requests.py
+++ b/tests/relay/test_unanswered_requests.py
@@ -6,7 +6,13 @@
 from dataclasses import replace
 
 from laburnumpitch.fleet.messages import TargetRecord
-from laburnumpitch.relay.configuration import Organisation
+from laburnumpitch.fleet.store_owners import list_managed_stores
+from laburnumpitch.relay.configuration import (
+    EngineSpec,
+    Organisation,
+    Service,
+    StoreSpec,
+)
 from laburnumpitch.transport.codec import encode
 
 from .relay_case import (
@@ -243,3 +249,34 @@
 
         answer = make_answer(extra=self.extra)
         self.run_relay([[answer, answer]], scenario)
+
+
+class UnusableStoreTest(RawClientCase):
+    """A configuration with a managed store that can hold or send nothing."""
+
+    scenarios = [
+        ("no_capacity", {"capacity_tokens": 0, "link_bytes_per_s": 1e9}),
+        ("no_link", {"capacity_tokens": 1000, "link_bytes_per_s": 0.0}),
+    ]
+
+    def test_used_by_no_request(self) -> None:
+        """Requests with kept context are answered, and the store needs no owner."""
+        address = f"{HOST}:1"
+        store = StoreSpec(
+            address, "dc", self.capacity_tokens, self.link_bytes_per_s, 0.0, True
+        )
+        engine = EngineSpec(4, 10_000, 100, 1e9, ())
+
+        async def scenario() -> None:
+            fleet_view = self.services.fleet_view
+            fleet_view.assignments[address] = HOST
+            routes = [replace(r, has_context=True) for r in CONFIGURATION.routes]
+            self.change_configuration(
+                routes=tuple(routes),
+                services=(Service(SERVICE, 0, engine), Service("kv", 0, None, store)),
+            )
+            headers = {"Prefix-Hash": "a:100,b:10", "Token-Usage": "110,5"}
+            self.assert_status(200, await self.exchange("once", headers=headers))
+            self.assertEqual([], list_managed_stores(fleet_view.configuration))
+
+        self.run_relay([[make_answer()]], scenario)
