Answer requests that end with an unexpected error

An error that is no LaburnumpitchError, raised while a request was admitted, placed or sent, or while its target's answer was read, ended the client's connection without an answer. For timeouts, connection errors and errors of h11 nothing was logged at all; for others connection_failed was, without the request.

Cause: RelayApi handled LaburnumpitchError only.

RelayApi now logs such an error with the request's id and answers 502, which does not state whether the request ran, unless the answer has begun: then it stays cut, as before.

--- a/src/laburnumpitch/relay/relay_api.py
+++ b/src/laburnumpitch/relay/relay_api.py
@@ -7,6 +7,7 @@
 
 from ..errors import (
     DrainingError,
+    InternalError,
     LaburnumpitchError,
     NoLeaseError,
     NoTargetError,
@@ -29,6 +30,9 @@
 """The same for other refusals, such as those of a node without a configuration."""
 
 QUARANTINE_STATUS = 503
+UNKNOWN_RUN_STATUS = 502
+"""Status after an unexpected error: it does not state whether the request ran."""
+
 DELIVERED_LOG_INTERVAL = 20
 """Number of delivered requests for each one that is logged."""
 
@@ -64,6 +68,15 @@
                 # The broken stream does not state whether the request ran.
                 return
             await self.refuse(request_id, responder, run, error)
+        except Exception as error:
+            if responder.has_started and isinstance(error, ConnectionError):
+                # The client has disconnected.
+                raise
+            self.services.metrics.count("request.failed")
+            self.services.log.exception("request_failed", request=request_id)
+            if not responder.has_started:
+                failure = InternalError(repr(error))
+                await self.refuse(request_id, responder, run, failure)
 
     def admit(self, request: HttpRequest) -> AdmittedRequest:
         """Check a request against the configuration in force.
@@ -109,6 +122,8 @@
         """
         if run is not None and run.may_have_run:
             return 504 if run.remaining_s <= 0 else 502
+        if isinstance(error, InternalError):
+            return UNKNOWN_RUN_STATUS
         if isinstance(error, QuarantinedError):
             return QUARANTINE_STATUS
         if run is not None and error.status >= 500:
--- a/tests/relay/test_unanswered_requests.py
+++ b/tests/relay/test_unanswered_requests.py
@@ -5,6 +5,9 @@
 import asyncio
 from dataclasses import replace
 
+import h11
+import testscenarios
+
 from laburnumpitch.fleet.messages import TargetRecord
 from laburnumpitch.fleet.store_owners import list_managed_stores
 from laburnumpitch.relay.configuration import (
@@ -280,3 +283,46 @@
             self.assertEqual([], list_managed_stores(fleet_view.configuration))
 
         self.run_relay([[make_answer()]], scenario)
+
+
+class UnexpectedErrorTest(RawClientCase):
+    """An error that no part of the relay expects."""
+
+    scenarios = testscenarios.multiply_scenarios(
+        [
+            ("value", {"error": ValueError("x")}),
+            ("key", {"error": KeyError("x")}),
+            ("timeout", {"error": asyncio.TimeoutError()}),
+            ("connection", {"error": ConnectionResetError("of another connection")}),
+            ("protocol", {"error": h11.LocalProtocolError("x")}),
+        ],
+        [
+            ("admission", {"part": "retry_limiter", "name": "record_request"}),
+            ("placement", {"part": "dispatcher", "name": "make_place_call"}),
+            ("sending", {"part": "translator", "name": "make_headers"}),
+            ("answer", {"part": "translator", "name": "read_answer"}),
+        ],
+    )
+
+    def test_answered_without_a_promise(self) -> None:
+        """The client gets 502 for its attempt, and may go on to use its connection."""
+
+        def fail(*arguments) -> None:
+            raise self.error
+
+        async def scenario() -> None:
+            part = getattr(self.services, self.part)
+            self.patch(part, self.name, fail)
+            reader, writer = await asyncio.open_connection(HOST, self.server.port)
+            writer.write(self.make_request("once", "POST", {}, "keep-alive"))
+            head = await reader.readuntil(b"\r\n\r\n")
+            self.assert_status(502, head)
+            self.assertIn(f"attempt-id: {REQUEST_ID}".encode(), head)
+            self.assertNotIn(b"retry-after", head)
+            writer.write(self.make_request("nowhere", "POST", {}, "close"))
+            self.assertIn(b"HTTP/1.1 404 ", await reader.read())
+            writer.close()
+            loads = self.services.statistics.get_loads()
+            self.assertEqual({}, loads)
+
+        self.run_relay([[make_answer()]], scenario)
