Answer requests whose handler fails on any HTTP server

A request to any of a node's interfaces (clients, operators and targets, readiness, metrics) that was read whole got no answer if its handler raised an unexpected error before it answered. Timeouts, connection errors and errors of h11 were not even logged.

Cause: HttpServer took every ConnectionError, TimeoutError and ProtocolError for the client's end of the connection, wherever it came from, and closed the connection.

The server now answers 500 with "run": "unknown", if the answer has not begun, and logs handler_failed with the path. An answer that has begun stays cut.

--- a/src/laburnumpitch/transport/http_server.py
+++ b/src/laburnumpitch/transport/http_server.py
@@ -7,7 +7,7 @@
 
 import h11
 
-from ..errors import TooLargeError
+from ..errors import NOT_RUN, InternalError, TooLargeError
 from ..logging import get_logger
 from .connection_log import ConnectionLog
 from .connection_reader import ConnectionReader
@@ -178,12 +178,16 @@
                 return
 
     async def reject(
-        self, connection: ServerConnection, status: int, code: str
+        self,
+        connection: ServerConnection,
+        status: int,
+        code: str,
+        run: str = NOT_RUN,
     ) -> None:
-        """Answer a request that could not be read, which was thus not run."""
+        """Answer a request that could not be read or has failed, and close."""
         connection.must_linger = True
         if connection.h11_connection.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            body = b'{"error":{"code":"%s","run":"not_run"}}' % code.encode()
+            body = f'{{"error":{{"code":"{code}","run":"{run}"}}}}'.encode()
             headers = [("content-type", "application/json"), ("connection", "close")]
             await connection.responder.send(status, headers, body)
 
@@ -201,6 +205,12 @@
             handler_task.cancel()
             await asyncio.gather(handler_task, return_exceptions=True)
             raise
+        except Exception:
+            if responder.has_started:
+                raise
+            self.log.exception("handler_failed", path=request.path)
+            failure = InternalError()
+            await self.reject(connection, failure.status, failure.code, failure.run)
         finally:
             watch_task.cancel()
             await asyncio.gather(watch_task, return_exceptions=True)
