Leave a silent target only for one that has capacity

A request that may run again left a target that was silent for a second (or three latency objectives, or half of the time for a body of unknown length), whether or not another one could take it. If none did, a stream broke off and other requests ended 502 or 504, although the target would have gone on. It would have logged sending_failed code=target_timeout, then request_failed.

Cause: the deadline was set before the wait, from the route alone. The retry budget, a suspect piece and the other targets were looked at only after the connection had been closed.

AnswerDeadlines now decides when a deadline is missed, and again every 0.2 s: the policy says whether another target may run the request, and a placement there is reserved before the first connection is closed. Without one the request waits on, to its own deadline. What arrives while the placement is asked for still counts, and the reservation is released. Nothing is sent to the second target before the first connection is closed, so no request runs on both. A silent target that the request does not leave counts as possibly unreachable, as one that it left did before.

Ruled out: a longer timeout, which would only move the case; and deciding by this node's own data alone, by which all nodes would move the streams of one engine to the same few places.

Not covered: the second target may still reject the request, and a stream for which the rejections run out breaks off.

--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -22,6 +22,7 @@
     check_answer,
     raise_not_run,
 )
+from .answer_deadlines import AnswerDeadlines
 from .configuration import STREAMING
 from .request import AdmittedRequest, FallbackAnswer, TargetRequest
 from .services import RelayServices
@@ -64,7 +65,9 @@
         self.responder = responder
         self.route = admitted.route
         self.started_s = admitted.request.received_at_s
-        self.deadline_s = self.started_s + admitted.timeout_s
+        self.deadlines = AnswerDeadlines(
+            services, self.started_s + admitted.timeout_s, self.count_runs_left
+        )
         self.excluded: set[str] = set()
         """Targets that failed or rejected the request."""
         self.may_have_run = False
@@ -80,7 +83,7 @@
     @property
     def remaining_s(self) -> float:
         """Time left until the request has to be answered."""
-        return self.deadline_s - self.services.get_time_s()
+        return self.deadlines.remaining_s
 
     async def serve(self) -> None:
         """Send the request to targets in turn until it is answered.
@@ -89,11 +92,20 @@
             LaburnumpitchError: If no target answers it; the client has received
                 nothing then, or the beginning of a stream.
         """
+        try:
+            await self.try_targets()
+        finally:
+            self.deadlines.release_reserved()
+
+    async def try_targets(self) -> None:
+        """Send the request to targets in turn until it is answered.
+
+        Raises:
+            LaburnumpitchError: If no target answers it.
+        """
         while True:
             try:
-                target = await self.services.dispatcher.acquire(
-                    self.admitted, frozenset(self.excluded), self.deadline_s
-                )
+                target = await self.acquire()
             except (NoTargetError, OverloadedError) as error:
                 if self.fallback is not None:
                     await self.deliver_fallback()
@@ -113,6 +125,20 @@
                 await self.deliver_fallback()
                 return
 
+    async def acquire(self) -> TargetRecord:
+        """Return the next target, on which the request is counted.
+
+        Raises:
+            LaburnumpitchError: If there is none.
+        """
+        reserved = self.deadlines.take_reserved()
+        if reserved is not None:
+            self.admitted = reserved.admitted
+            return reserved.target
+        return await self.services.dispatcher.acquire(
+            self.admitted, frozenset(self.excluded), self.deadlines.deadline_s
+        )
+
     async def send(self, target: TargetRecord) -> None:
         """Send the request to one target and deliver its answer.
 
@@ -123,6 +149,7 @@
         self.sent_s = sent_s = services.get_time_s()
         self.is_prefill_pending = True
         self.context = None
+        self.deadlines.start(target, self.admitted, self.excluded)
         answer = None
         try:
             answer = await self.request(target)
@@ -145,22 +172,6 @@
                 services.dispatcher.record_prefill_end(target, self.admitted, None)
             services.dispatcher.release(target, self.admitted)
 
-    def choose_timeout_s(self, timeout_s: float) -> float:
-        """Return a timeout, or all the time left if no other target can be tried."""
-        remaining_s = max(0.0, self.remaining_s)
-        if self.is_retry_allowed() and self.possible_runs + 1 < self.route.max_targets:
-            return min(remaining_s, timeout_s)
-        return remaining_s
-
-    def choose_deadline_s(self, timeout_s: float) -> float:
-        """Return the time by which a target must go on: `timeout_s` from now.
-
-        If that is too late, or no other target is left, it is the request's deadline.
-        """
-        if self.choose_timeout_s(timeout_s) != timeout_s:
-            return self.deadline_s
-        return self.services.get_time_s() + timeout_s
-
     async def request(self, target: TargetRecord) -> HttpAnswer:
         """Write the request and return the answer once its headers have arrived.
 
@@ -184,7 +195,9 @@
             path,
             headers,
             request.body,
-            first_byte_timeout_s=self.choose_timeout_s(get_start_timeout_s(self.route)),
+            first_byte_timeout_s=self.deadlines.choose_timeout_s(
+                get_start_timeout_s(self.route)
+            ),
             gap_timeout_s=math.inf,
             total_timeout_s=max(0.0, self.remaining_s),
             max_answer_bytes=(
@@ -193,6 +206,7 @@
             max_idle_s=max_idle_s,
             connect_timeout_s=PROBE_TIMEOUT_S if is_probe else CONNECT_TIMEOUT_S,
             host=request.get_header("host"),
+            extend_deadline=self.deadlines.extend,
         )
 
     async def make_target_request(self, target: TargetRecord) -> TargetRequest:
@@ -234,7 +248,9 @@
         """
         services = self.services
         metadata = services.translator.read_answer(answer.status, answer.headers)
-        answer.deadline_s = self.choose_deadline_s(get_start_timeout_s(self.route))
+        answer.deadline_s = self.deadlines.choose_deadline_s(
+            get_start_timeout_s(self.route)
+        )
         if metadata.is_not_run:
             await self.drain_rejection(answer)
             raise_not_run(
@@ -268,13 +284,16 @@
             TargetError: If the body is truncated, too large or stalls.
         """
         timeout_s = get_start_timeout_s(self.route)
-        end_s = self.deadline_s
+        end_s = self.deadlines.deadline_s
         if not answer.has_length:
-            end_s = self.choose_deadline_s(self.remaining_s * MAX_READ_SHARE)
-        return await answer.read(lambda: min(end_s, self.choose_deadline_s(timeout_s)))
+            end_s = self.deadlines.choose_deadline_s(self.remaining_s * MAX_READ_SHARE)
+        return await answer.read(
+            lambda: min(end_s, self.deadlines.choose_deadline_s(timeout_s))
+        )
 
     async def drain_rejection(self, answer: HttpAnswer) -> None:
         """Read a rejection to its end, so that its connection can be reused."""
+        answer.set_final_deadline(answer.deadline_s)
         try:
             await self.read_body(answer)
         except TargetError as error:
@@ -316,11 +335,12 @@
         gap_timeout_s = get_gap_timeout_s(self.route)
         async for _ in self.stream.deliver(answer, headers):
             self.record_event(target)
-            answer.deadline_s = self.choose_deadline_s(gap_timeout_s)
+            answer.deadline_s = self.deadlines.choose_deadline_s(gap_timeout_s)
 
     def record_event(self, target: TargetRecord) -> None:
         """Record that an event of a stream has arrived, which ends the prefill."""
         services = self.services
+        self.deadlines.release_reserved()
         if self.is_prefill_pending:
             self.is_prefill_pending = False
             duration_s = services.get_time_s() - self.sent_s
@@ -334,6 +354,12 @@
         has_started = self.responder.has_started
         return self.route.is_retryable and (not has_started or self.route.is_resumable)
 
+    def count_runs_left(self) -> int:
+        """Return the number of further targets that may run the request."""
+        if not self.is_retry_allowed():
+            return 0
+        return max(0, self.route.max_targets - self.possible_runs - 1)
+
     def has_retry_left(self) -> bool:
         """Whether a request that may have run may be sent to another target."""
         return (
--- a/src/laburnumpitch/relay/retry_limiter.py
+++ b/src/laburnumpitch/relay/retry_limiter.py
@@ -58,11 +58,15 @@
         """Count a client's request."""
         self.get_window(service).requests.append(self.get_time_s())
 
-    def try_spend(self, service: str) -> bool:
-        """Count a retry if one is allowed, and return whether it is."""
+    def has_budget(self, service: str) -> bool:
+        """Whether one more retry is allowed now."""
         window = self.get_window(service)
         allowed = self.ratio * len(window.requests) + self.slack / self.get_node_count()
-        if len(window.retries) + 1 > allowed * SAFETY_FACTOR:
+        return len(window.retries) + 1 <= allowed * SAFETY_FACTOR
+
+    def try_spend(self, service: str) -> bool:
+        """Count a retry if one is allowed, and return whether it is."""
+        if not self.has_budget(service):
             return False
-        window.retries.append(self.get_time_s())
+        self.get_window(service).retries.append(self.get_time_s())
         return True
--- a/src/laburnumpitch/transport/http_client.py
+++ b/src/laburnumpitch/transport/http_client.py
@@ -16,7 +16,7 @@
 from ._client_pool import ClientPool
 from .body_budget import BodyBudget
 from .header_bytes import decode_headers, encode_headers
-from .http_connection import HttpConnection
+from .http_connection import ExtendDeadline, HttpConnection
 from .http_server import Headers
 
 CONNECT_TIMEOUT_S = 1.0
@@ -147,6 +147,11 @@
             reservation.close()
             self.close()
 
+    def set_final_deadline(self, deadline_s: float) -> None:
+        """Set a deadline that is not extended."""
+        self.deadline_s = deadline_s
+        self.connection.extend_deadline = None
+
     def close(self) -> None:
         """Release the connection; it is reused only if the answer is complete."""
         self.client.release_connection(self.connection, self.is_complete)
@@ -242,6 +247,7 @@
         before_write: Callable[[], None] | None = None,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         host: str = "",
+        extend_deadline: ExtendDeadline | None = None,
     ) -> HttpAnswer:
         """Send a request and return the answer once its headers have arrived.
 
@@ -264,6 +270,7 @@
             connect_timeout_s: Timeout of connecting; `first_byte_timeout_s` if that
                 is shorter.
             host: Host header; the address if empty.
+            extend_deadline: Called when the answer misses a deadline.
 
         Raises:
             TargetError: If the request fails; `sent` states whether any byte of it
@@ -278,7 +285,7 @@
         try:
             if before_write is not None:
                 before_write()
-            connection.start_answer(max_answer_bytes)
+            connection.start_answer(max_answer_bytes, extend_deadline)
             self.write_request(connection, method, path, headers, body, host)
             head_deadline_s = min(end_s, time.monotonic() + first_byte_timeout_s)
             head = await self.receive_head(connection, head_deadline_s)
--- a/src/laburnumpitch/transport/http_connection.py
+++ b/src/laburnumpitch/transport/http_connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from collections.abc import Awaitable, Callable
 
 import h11
 
@@ -31,6 +32,11 @@
 """Further framing for each byte of the body."""
 
 
+ExtendDeadline = Callable[[], Awaitable[float]]
+"""Returns the deadline that follows one which an answer has missed; one that has passed
+to give the answer up."""
+
+
 class HttpConnection(asyncio.Protocol):
     """A connection to a server, with its h11 state and unread data.
 
@@ -59,6 +65,8 @@
         self.body_bytes = 0
         """Bytes of the current answer's body."""
         self.max_answer_bytes = 0
+        self.extend_deadline: ExtendDeadline | None = None
+        """Called when the current answer misses a deadline."""
         self.busy_events = 0
         """Events read since this connection last waited."""
         self.overrun_deadline_s: float | None = None
@@ -159,8 +167,11 @@
         task = asyncio.current_task()
         return task is not None and task.cancelling() > 0
 
-    def start_answer(self, max_bytes: int) -> None:
+    def start_answer(
+        self, max_bytes: int, extend_deadline: ExtendDeadline | None = None
+    ) -> None:
         """Start to count the bytes of the next answer, which may have `max_bytes`."""
+        self.extend_deadline = extend_deadline
         self.answer_bytes = 0
         self.body_bytes = 0
         self.max_answer_bytes = max_bytes
@@ -169,6 +180,28 @@
     async def receive_event(self, deadline_s: float) -> h11.Event:
         """Return the next event of the answer.
 
+        Args:
+            deadline_s: Monotonic time by which the event must be complete, unless the
+                deadline is extended then.
+
+        Raises:
+            TargetTimeoutError: If the event was not complete in time.
+            TargetError: If the connection broke.
+            MalformedAnswerError: If the answer is not valid HTTP or is too large.
+        """
+        while True:
+            try:
+                return await self.receive_event_by(deadline_s)
+            except TargetTimeoutError:
+                if self.extend_deadline is None:
+                    raise
+                deadline_s = await self.extend_deadline()
+                if deadline_s <= self.loop.time() and self.is_idle:
+                    raise
+
+    async def receive_event_by(self, deadline_s: float) -> h11.Event:
+        """Return the next event of the answer if it is complete by a deadline.
+
         Data that has arrived by the deadline still counts, as the process may have been
         suspended meanwhile.
 
