Move the sending of a request out of RelayRun

TargetSender takes RelayRun.request and make_target_request, unchanged but for the parameters that were attributes of the run.

--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-import math
-
 from ..errors import (
-    DeadlineExceededError,
     MalformedAnswerError,
     NoTargetError,
     OverloadedError,
@@ -16,25 +13,17 @@
 from ..transport.http_client import HttpAnswer
 from ..transport.http_server import Headers, Responder
 from .answer_checks import (
-    MAX_ANSWER_BYTES,
-    MAX_STREAM_BYTES,
     NOT_RUN_STATUSES,
     check_answer,
     raise_not_run,
 )
 from .answer_deadlines import AnswerDeadlines
 from .configuration import STREAMING
-from .request import AdmittedRequest, FallbackAnswer, TargetRequest
+from .request import AdmittedRequest, FallbackAnswer
 from .services import RelayServices
 from .stream_relay import StreamRelay
-from .timeouts import (
-    CONNECT_TIMEOUT_S,
-    MAX_IDLE_NON_RETRYABLE_S,
-    MAX_IDLE_RETRYABLE_S,
-    PROBE_TIMEOUT_S,
-    get_gap_timeout_s,
-    get_start_timeout_s,
-)
+from .target_sender import TargetSender
+from .timeouts import get_gap_timeout_s, get_start_timeout_s
 
 MAX_REJECTIONS = 3
 """Number of targets that may reject a request or be unreachable before the request is
@@ -68,6 +57,7 @@
         self.deadlines = AnswerDeadlines(
             services, self.started_s + admitted.timeout_s, self.count_runs_left
         )
+        self.sender = TargetSender(services, self.deadlines)
         self.excluded: set[str] = set()
         """Targets that failed or rejected the request."""
         self.may_have_run = False
@@ -148,11 +138,15 @@
         services = self.services
         self.sent_s = sent_s = services.get_time_s()
         self.is_prefill_pending = True
-        self.context = None
         self.deadlines.start(target, self.admitted, self.excluded)
         answer = None
         try:
-            answer = await self.request(target)
+            answer = await self.sender.send(
+                target,
+                self.admitted,
+                resume_after=self.stream.last_event_id,
+                is_retry_allowed=self.is_retry_allowed(),
+            )
             await self.handle_answer(target, answer)
             ended_s = services.get_time_s()
             services.statistics.record_success(target, ended_s - sent_s)
@@ -163,7 +157,7 @@
                 services.statistics.record_generation(target, tokens, duration_s)
         except TargetError as error:
             if not error.sent:
-                services.planner.cancel_saves(self.admitted, self.context)
+                services.planner.cancel_saves(self.admitted, self.sender.context)
             raise
         finally:
             if answer is not None:
@@ -172,74 +166,6 @@
                 services.dispatcher.record_prefill_end(target, self.admitted, None)
             services.dispatcher.release(target, self.admitted)
 
-    async def request(self, target: TargetRecord) -> HttpAnswer:
-        """Write the request and return the answer once its headers have arrived.
-
-        Raises:
-            TargetError: If no answer arrived.
-        """
-        services, admitted = self.services, self.admitted
-        request = admitted.request
-        target_request = await self.make_target_request(target)
-        headers = services.translator.make_headers(admitted, target_request)
-        is_probe = services.statistics.is_possibly_unreachable(target)
-        max_idle_s = MAX_IDLE_NON_RETRYABLE_S
-        if is_probe:
-            # A new connection fails soon if the target is unreachable.
-            max_idle_s = 0.0
-        elif self.is_retry_allowed():
-            max_idle_s = MAX_IDLE_RETRYABLE_S
-        path = f"{request.path}?{request.query}" if request.query else request.path
-        return await services.clients.get(target.address).request(
-            request.method,
-            path,
-            headers,
-            request.body,
-            first_byte_timeout_s=self.deadlines.choose_timeout_s(
-                get_start_timeout_s(self.route)
-            ),
-            gap_timeout_s=math.inf,
-            total_timeout_s=max(0.0, self.remaining_s),
-            max_answer_bytes=(
-                MAX_STREAM_BYTES if self.route.kind == STREAMING else MAX_ANSWER_BYTES
-            ),
-            max_idle_s=max_idle_s,
-            connect_timeout_s=PROBE_TIMEOUT_S if is_probe else CONNECT_TIMEOUT_S,
-            host=request.get_header("host"),
-            extend_deadline=self.deadlines.extend,
-        )
-
-    async def make_target_request(self, target: TargetRecord) -> TargetRequest:
-        """Return what a target receives in addition to the client's request.
-
-        Raises:
-            DeadlineExceededError: If the deadline has passed.
-            QuarantinedError: If the request crashes targets, as is known by now.
-        """
-        admitted = self.admitted
-        if self.remaining_s <= 0:
-            raise DeadlineExceededError("the deadline passed before sending")
-        self.services.crash_reports.check(admitted)
-        version = None
-        if self.route.has_context:
-            stats = self.services.statistics.get(target.target_id)
-            version = self.services.dispatcher.catalog.find_weight_version(
-                target, stats, admitted.metadata.model
-            )
-            planner = self.services.planner
-            self.context = await planner.plan(admitted, target, version)
-        organisation = admitted.organisation
-        return TargetRequest(
-            target=target,
-            remaining_s=self.remaining_s,
-            organisation=organisation.name if organisation else "",
-            drops_api_key=self.services.has_organisations(),
-            priority_class=admitted.priority_class,
-            weight_version=version,
-            context=self.context,
-            resume_after=self.stream.last_event_id,
-        )
-
     async def handle_answer(self, target: TargetRecord, answer: HttpAnswer) -> None:
         """Check an answer and deliver it.
 
--- /dev/null
+++ b/src/laburnumpitch/relay/target_sender.py
@@ -0,0 +1,117 @@
+"""Sends a request to a target."""
+
+from __future__ import annotations
+
+import math
+
+from ..errors import DeadlineExceededError
+from ..fleet.messages import TargetRecord
+from ..transport.http_client import HttpAnswer
+from .answer_checks import MAX_ANSWER_BYTES, MAX_STREAM_BYTES
+from .answer_deadlines import AnswerDeadlines
+from .configuration import STREAMING
+from .request import AdmittedRequest, ContextPlan, TargetRequest
+from .services import RelayServices
+from .timeouts import (
+    CONNECT_TIMEOUT_S,
+    MAX_IDLE_NON_RETRYABLE_S,
+    MAX_IDLE_RETRYABLE_S,
+    PROBE_TIMEOUT_S,
+    get_start_timeout_s,
+)
+
+
+class TargetSender:
+    """Sends one request, to one target after another.
+
+    Args:
+        services: Services that all runs share.
+        deadlines: Deadlines of the targets' answers.
+    """
+
+    def __init__(self, services: RelayServices, deadlines: AnswerDeadlines) -> None:
+        self.services = services
+        self.deadlines = deadlines
+        self.context: ContextPlan | None = None
+        """Where the last target reads and saves kept context."""
+
+    async def send(
+        self,
+        target: TargetRecord,
+        admitted: AdmittedRequest,
+        *,
+        resume_after: str,
+        is_retry_allowed: bool,
+    ) -> HttpAnswer:
+        """Write the request and return the answer once its headers have arrived.
+
+        Args:
+            target: The target.
+            admitted: The request.
+            resume_after: Event after which to resume a stream.
+            is_retry_allowed: Whether the request may run again.
+
+        Raises:
+            TargetError: If no answer arrived.
+        """
+        services, deadlines = self.services, self.deadlines
+        request, route = admitted.request, admitted.route
+        self.context = None
+        target_request = await self.make_target_request(target, admitted, resume_after)
+        headers = services.translator.make_headers(admitted, target_request)
+        is_probe = services.statistics.is_possibly_unreachable(target)
+        max_idle_s = MAX_IDLE_NON_RETRYABLE_S
+        if is_probe:
+            # A new connection fails soon if the target is unreachable.
+            max_idle_s = 0.0
+        elif is_retry_allowed:
+            max_idle_s = MAX_IDLE_RETRYABLE_S
+        path = f"{request.path}?{request.query}" if request.query else request.path
+        return await services.clients.get(target.address).request(
+            request.method,
+            path,
+            headers,
+            request.body,
+            first_byte_timeout_s=deadlines.choose_timeout_s(get_start_timeout_s(route)),
+            gap_timeout_s=math.inf,
+            total_timeout_s=max(0.0, deadlines.remaining_s),
+            max_answer_bytes=(
+                MAX_STREAM_BYTES if route.kind == STREAMING else MAX_ANSWER_BYTES
+            ),
+            max_idle_s=max_idle_s,
+            connect_timeout_s=PROBE_TIMEOUT_S if is_probe else CONNECT_TIMEOUT_S,
+            host=request.get_header("host"),
+            extend_deadline=deadlines.extend,
+        )
+
+    async def make_target_request(
+        self, target: TargetRecord, admitted: AdmittedRequest, resume_after: str
+    ) -> TargetRequest:
+        """Return what a target receives in addition to the client's request.
+
+        Raises:
+            DeadlineExceededError: If the deadline has passed.
+            QuarantinedError: If the request crashes targets, as is known by now.
+        """
+        services, remaining_s = self.services, self.deadlines.remaining_s
+        if remaining_s <= 0:
+            raise DeadlineExceededError("the deadline passed before sending")
+        services.crash_reports.check(admitted)
+        version = None
+        if admitted.route.has_context:
+            stats = services.statistics.get(target.target_id)
+            version = services.dispatcher.catalog.find_weight_version(
+                target, stats, admitted.metadata.model
+            )
+            self.context = await services.planner.plan(admitted, target, version)
+        organisation = admitted.organisation
+        return TargetRequest(
+            target=target,
+            remaining_s=self.deadlines.remaining_s,
+            organisation=organisation.name if organisation else "",
+            drops_api_key=services.has_organisations(),
+            priority_class=admitted.priority_class,
+            weight_version=version,
+            context=self.context,
+            resume_after=resume_after,
+        )
