Believe only refusals of the request's own attempt

If a target wrote a refusal of another request once more, clients were told 503 for requests that the target had run or was running, and non-idempotent requests and streams ran at a second target. The log had sending_rejected for them.

Cause: RelayRun acted on Not-Executed, or on status 421, before it compared the Attempt-Id of the answer.

A refusal now counts only if it names the attempt. Targets echo the Attempt-Id, so one that names another attempt says nothing about this one. One that names none, as for a request that reached the target without an identifier, counts on a connection on which nothing else was sent before: there it cannot be of another request. Any other answer is not of this request, as was so for answers that are no refusals: the request may have run, and the connection is closed.

Ruled out: believing 421 in any case (it is echoed like the others), and disbelieving all that name no attempt, which would fail requests that a target certainly refused.

--- a/src/laburnumpitch/relay/answer_checks.py
+++ b/src/laburnumpitch/relay/answer_checks.py
@@ -21,6 +21,25 @@
 one of them is not passed on, unless the target confirms that it did not run."""
 
 
+def is_own_refusal(
+    metadata: AnswerMetadata, request_id: str, is_first_answer: bool
+) -> bool:
+    """Whether a target states that it did not run this attempt of a request.
+
+    A refusal of another attempt says nothing about this one. One that names no attempt
+    may be of any request that was sent on its connection.
+
+    Args:
+        metadata: What the answer states.
+        request_id: Identifier of the attempt.
+        is_first_answer: Whether nothing else was sent on the connection before.
+    """
+    if not metadata.is_not_run:
+        return False
+    is_unnamed = not metadata.request_id
+    return metadata.request_id == request_id or (is_unnamed and is_first_answer)
+
+
 def check_answer(metadata: AnswerMetadata, request_id: str) -> None:
     """Check that an answer belongs to a request and has its own bytes.
 
--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -15,6 +15,7 @@
 from .answer_checks import (
     NOT_RUN_STATUSES,
     check_answer,
+    is_own_refusal,
     raise_not_run,
 )
 from .answer_deadlines import AnswerDeadlines
@@ -177,7 +178,8 @@
         answer.deadline_s = self.deadlines.choose_deadline_s(
             get_start_timeout_s(self.route)
         )
-        if metadata.is_not_run:
+        request_id = self.admitted.metadata.request_id
+        if is_own_refusal(metadata, request_id, answer.is_first):
             await self.drain_rejection(answer)
             raise_not_run(
                 services.statistics,
@@ -186,7 +188,7 @@
                 self.admitted.metadata.model,
                 services.fleet_view.weight_versions,
             )
-        check_answer(metadata, self.admitted.metadata.request_id)
+        check_answer(metadata, request_id)
         if answer.status not in SUCCESS_STATUSES:
             await self.handle_error_answer(answer)
             return
--- a/src/laburnumpitch/transport/http_client.py
+++ b/src/laburnumpitch/transport/http_client.py
@@ -94,6 +94,8 @@
         self.gap_timeout_s = gap_timeout_s
         self.deadline_s = deadline_s
         self.is_complete = False
+        self.is_first = connection.answer_count == 1
+        """Whether no other request was sent on the connection before."""
 
     @property
     def has_length(self) -> bool:
--- a/src/laburnumpitch/transport/http_connection.py
+++ b/src/laburnumpitch/transport/http_connection.py
@@ -60,6 +60,8 @@
         """Whether h11 was given the end of the received data."""
         self.waiter: asyncio.Future[None] | None = None
         self.idle_since_s = 0.0
+        self.answer_count = 0
+        """Number of answers that were awaited."""
         self.answer_bytes = 0
         """Bytes received of the current answer, with heads, framing and trailers."""
         self.body_bytes = 0
@@ -171,6 +173,7 @@
         self, max_bytes: int, extend_deadline: ExtendDeadline | None = None
     ) -> None:
         """Start to count the bytes of the next answer, which may have `max_bytes`."""
+        self.answer_count += 1
         self.extend_deadline = extend_deadline
         self.answer_bytes = 0
         self.body_bytes = 0
--- a/tests/relay/relay_case.py
+++ b/tests/relay/relay_case.py
@@ -128,6 +128,8 @@
     def __init__(self, scripts: list[Script]) -> None:
         self.scripts = scripts
         self.requests: list[bytes] = []
+        self.connections = 0
+        """Number of connections that were opened to it."""
         self.closed = asyncio.Event()
 
     async def start(self) -> int:
@@ -137,6 +139,7 @@
 
     async def serve(self, reader, writer) -> None:
         """Answer the requests of one connection."""
+        self.connections += 1
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
