Order weights on a connection without earlier answers

If an engine wrote its answer to a report once more where the answer to an order was due, the order counted as done already (status 200), although the engine had not loaded the version. Nothing was logged. It was not seen on a fleet.

Cause: reports and orders share kept connections, and the answer to an order is known by its status alone; it has no identifier.

An order now opens a connection. Orders are rare. Reports keep their connections: an earlier report that comes again is one poll old, the next call finds the unread bytes and opens a connection, and an order on an outdated report is refused by its precondition.

Before the change, RepeatedAnswerTest failed ('accepted' != 'already'); now it passes, as do the tests of the rollout.

--- a/src/laburnumpitch/platform/target_client.py
+++ b/src/laburnumpitch/platform/target_client.py
@@ -307,6 +307,8 @@
             first_byte_timeout_s=ORDER_TIMEOUT_S,
             total_timeout_s=ORDER_TIMEOUT_S,
             max_answer_bytes=MAX_STATE_BYTES,
+            # On a kept connection an earlier answer may come once more.
+            max_idle_s=0.0,
             before_write=order.before_write,
         )
         await answer.read()
