Change engines and stores on connections without earlier answers

A node with the entry role believed an earlier answer that an engine or store wrote once more on a kept connection: a refusal (409, 429, 503) for a prompt that the engine was running, which then ran at a second engine too; a success for an order, a commit, a move or an export that had failed. It was not seen on a cluster.

Cause: these answers are known by their status alone, and the calls shared kept connections with others. Tokens of a prompt carry its identifier and were safe.

Prompts, and calls that are not GET, now open a connection, as non-idempotent calls of services do. GET calls keep theirs: their answers are read again soon. Idempotent calls of services keep theirs, too; their answers carry no identifier by which a repeated one could be told, which remains.

--- a/src/laburnumpitch/targets/http_engine.py
+++ b/src/laburnumpitch/targets/http_engine.py
@@ -64,6 +64,8 @@
             first_byte_timeout_s=first_token_timeout_s,
             gap_timeout_s=TOKEN_GAP_TIMEOUT_S,
             total_timeout_s=first_token_timeout_s,
+            # On a kept connection an earlier refusal may come once more.
+            max_idle_s=0.0,
         )
         try:
             if answer.status != 200:
--- a/src/laburnumpitch/targets/json_call.py
+++ b/src/laburnumpitch/targets/json_call.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from ..errors import MalformedAnswerError, TargetError, TargetRefusedError
-from ..transport.http_client import HttpClient
+from ..transport.http_client import MAX_IDLE_S, HttpClient
 
 CALL_TIMEOUT_S = 5.0
 """Default timeout of a call, until its answer has ended."""
@@ -16,6 +16,9 @@
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 """Maximum size of an answer; a listing of all blocks is the largest one."""
 
+READ_METHOD = "GET"
+"""Method of the calls that change nothing."""
+
 JSON_HEADERS = [("content-type", "application/json")]
 
 ValueT = TypeVar("ValueT")
@@ -52,6 +55,8 @@
         first_byte_timeout_s=timeout_s,
         total_timeout_s=timeout_s,
         max_answer_bytes=MAX_ANSWER_BYTES,
+        # An earlier answer that comes once more must not count for a change.
+        max_idle_s=MAX_IDLE_S if method == READ_METHOD else 0.0,
         before_write=before_write,
     )
     content = await answer.read()
