Leave time to the tests of silent targets

Their pauses of 1.1 s ended 0.4 s before the request's deadline, which a busy machine may use up; none was seen to fail. The routes of these tests now allow 6 s, and a placement that is asked for while the target goes on takes 1 s.

--- a/tests/relay/relay_case.py
+++ b/tests/relay/relay_case.py
@@ -299,6 +299,7 @@
         method: str = "POST",
         key: str = API_KEY,
         request_id: str = REQUEST_ID,
+        deadline_ms: int = 1500,
         **headers: str,
     ):
         """Send a request and return status, headers and body."""
@@ -308,11 +309,11 @@
             [
                 ("attempt-id", request_id),
                 ("authorization", f"Bearer {key}"),
-                ("deadline-ms", "1500"),
+                ("deadline-ms", str(deadline_ms)),
                 *((name.replace("_", "-"), value) for name, value in headers.items()),
             ],
             b"body",
-            first_byte_timeout_s=5.0,
+            first_byte_timeout_s=TIMEOUT_S,
         )
         body = await answer.read()
         return answer.status, dict(answer.headers), body
--- a/tests/relay/test_silent_targets.py
+++ b/tests/relay/test_silent_targets.py
@@ -3,18 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import testscenarios
 
 from laburnumpitch.fleet.messages import PlaceAnswer, PlaceCall
 from laburnumpitch.relay.placement_client import Placement
 
-from .relay_case import HOST, PacedAnswer, RelayCase, make_answer
+from .relay_case import CONFIGURATION, HOST, PacedAnswer, RelayCase, Script, make_answer
 from .test_relay import CHUNKED_HEAD, EVENTS, make_chunk
 
 PAUSE_S = 1.1
 """A pause after which a request that may run again looks for another target."""
 
+DEADLINE_S = 6.0
+"""A deadline that no pause reaches."""
+
 FULL = 100
 """More requests than any target takes."""
 
@@ -61,6 +65,19 @@
 class SilentTargetCase(RelayCase):
     """Requests to a first target that is silent, beside a second one."""
 
+    async def start(self, scripts: list[list[Script]]) -> None:
+        """Start targets and a relay whose routes allow the pauses."""
+        await super().start(scripts)
+        routes = [replace(r, timeout_s=DEADLINE_S) for r in CONFIGURATION.routes]
+        self.change_configuration(routes=tuple(routes))
+
+    async def send(self) -> tuple[int, bytes]:
+        """Send a request and return the status and the body of its answer."""
+        status, _, body = await self.send_request(
+            self.route, deadline_ms=int(DEADLINE_S * 1000), prefix_hash="a:1,b:1"
+        )
+        return status, body
+
     def get_whole_body(self) -> bytes:
         """Return the body of the route's answer."""
         return b"whole" if self.route == "read" else EVENTS
@@ -79,8 +96,7 @@
 
     async def assert_whole_answer(self) -> None:
         """Check that a request is answered whole, and that nothing stays counted."""
-        status, _, body = await self.send_request(self.route, prefix_hash="a:1,b:1")
-        self.assertEqual((200, self.get_whole_body()), (status, body))
+        self.assertEqual((200, self.get_whole_body()), await self.send())
         self.assertEqual({}, self.services.statistics.get_loads())
         self.assertEqual({}, self.services.dispatcher.placements)
 
@@ -117,8 +133,7 @@
 
         async def scenario() -> None:
             self.prepare()
-            status, _, body = await self.send_request(self.route, prefix_hash="a:1,b:1")
-            self.assertEqual((200, self.get_whole_body()), (status, body))
+            self.assertEqual((200, self.get_whole_body()), await self.send())
             self.assertEqual([1, 0], self.count_requests())
             loads = self.services.statistics.get_loads()
             self.assertNotIn("t0", loads)
@@ -187,7 +202,7 @@
         ANSWERS,
         [
             ("leaves", {"delay_s": 0.0, "pause_s": 3 * PAUSE_S, "requests": [1, 1]}),
-            ("goes_on", {"delay_s": 0.3, "pause_s": PAUSE_S, "requests": [1, 0]}),
+            ("goes_on", {"delay_s": 1.0, "pause_s": 1.4, "requests": [1, 0]}),
         ],
     )
 
@@ -217,16 +232,13 @@
         async def scenario() -> None:
             stats = self.services.statistics.get("t1")
             stats.running = FULL
-            sending = asyncio.create_task(
-                self.send_request(self.route, prefix_hash="a:1,b:1")
-            )
+            sending = asyncio.create_task(self.send())
             while not self.services.statistics.is_possibly_unreachable(
                 self.services.dispatcher.catalog.get_targets("shop")[0]
             ):
                 await asyncio.sleep(0.01)
             stats.running = 0
-            status, _, body = await sending
-            self.assertEqual((200, self.get_whole_body()), (status, body))
+            self.assertEqual((200, self.get_whole_body()), await sending)
             self.assertEqual([1, 1], self.count_requests())
 
         second = self.make_second_answer()
