Let a stream go on only at the build that began it

Callers saw streams whose events came from two software versions ("builds") of a service's targets, joined without a sign: inside one answer, when its target ended, and over a client's tries, at any node.

Cause: a target was chosen by service and weight version only. The build that a target announces was in no record, and nothing remembered which one began a stream. Class: a choice that is free before the first event was still taken for free after it.

Ruled out: that it takes a kill of all nodes; one broken connection is enough. That a single build serving now proves anything: the others may just have left.

Change: targets' records have their build. A run asks for its stream's build from the first event on; also when it leaves a silent target. The node that relays a stream tells two others its origin before the first event goes out, and any node asks for it when the client goes on. Requests for one build have queues of their own.

--- a/src/laburnumpitch/errors.py
+++ b/src/laburnumpitch/errors.py
@@ -178,6 +178,13 @@
     status = 422
 
 
+class StreamOriginUnknownError(LaburnumpitchError):
+    """Nobody knows for certain which build of the targets' software began a stream."""
+
+    code = "stream_origin_unknown"
+    status = 503
+
+
 class TargetError(LaburnumpitchError):
     """A target failed while it had the request.
 
--- a/src/laburnumpitch/fleet/fleet_publisher.py
+++ b/src/laburnumpitch/fleet/fleet_publisher.py
@@ -293,8 +293,9 @@
         Returns:
             Sequence number of the newest facts.
         """
+        state = self.replica.state_machine.state
         facts = FleetFacts(
-            weights=dict(self.replica.state_machine.state.weights),
+            weights=dict(state.weights),
             members=self.replica.core.committed_members,
             hosts=self.subscriptions.list_live_hosts(),
             quarantined=list(self.quarantine.fingerprints),
@@ -302,12 +303,23 @@
             quarantined_pieces=list(self.quarantine.pieces),
             suspect_pieces=self.quarantine.list_suspect_pieces(),
             leader_host=self.replica.get_leader_name(),
+            builds=dict(state.builds) if self.may_record_builds() else None,
         )
         if facts != self.facts:
             self.facts = facts
             self.facts_sequence = self.publish()
         return self.facts_sequence
 
+    def may_record_builds(self) -> bool:
+        """Whether the software of every node that may vote knows of builds.
+
+        This holds for good once builds are on record.
+        """
+        subscribers = self.subscriptions.by_host.values()
+        return bool(self.replica.state_machine.state.builds) or all(
+            s.node.knows_builds for s in subscribers if s.node.has_disk
+        )
+
     def handle_target_death(self, notice: TargetDied) -> None:
         """Record a target that died while it had a request."""
         self.check_term()
--- a/src/laburnumpitch/fleet/fleet_state.py
+++ b/src/laburnumpitch/fleet/fleet_state.py
@@ -1,4 +1,4 @@
-"""The fleet's replicated state: the configuration and the models' weight versions."""
+"""The fleet's replicated state: configuration, weight versions and builds."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from .messages import StoreConfiguration, StoreWeights
+from .messages import StoreBuilds, StoreConfiguration, StoreWeights
 
 
 @dataclass
@@ -19,6 +19,9 @@
     """Text of the newest configuration, compressed; empty before the first one."""
     weights: dict[str, int] = field(default_factory=dict)
     """Desired weight version by model, as operators set it."""
+    builds: dict[str, dict[str, bool]] = field(default_factory=dict)
+    """Builds of each service that may have begun a stream, or may soon; and whether
+    streams may begin on them."""
 
 
 class FleetState:
@@ -36,11 +39,16 @@
         return msgspec.msgpack.encode(self.state)
 
     def apply(self, command: Any) -> int:
-        """Apply one committed command and return the version in force after it."""
+        """Apply one committed command and return its result.
+
+        For configurations and weights, it is the version in force.
+        """
         if isinstance(command, StoreConfiguration):
             return self.on_store_configuration(command)
         if isinstance(command, StoreWeights):
             return self.on_store_weights(command)
+        if isinstance(command, StoreBuilds):
+            return self.on_store_builds(command)
         raise TypeError(f"unknown command {type(command).__name__}")
 
     def on_store_configuration(self, command: StoreConfiguration) -> int:
@@ -56,3 +64,12 @@
         known_version = self.state.weights.get(command.model, 0)
         self.state.weights[command.model] = max(known_version, command.version)
         return self.state.weights[command.model]
+
+    def on_store_builds(self, command: StoreBuilds) -> int:
+        """Replace the builds of a service, and return their number."""
+        builds = self.state.builds
+        if command.builds:
+            builds[command.service] = dict(command.builds)
+        else:
+            builds.pop(command.service, None)
+        return len(command.builds)
--- a/src/laburnumpitch/fleet/fleet_view.py
+++ b/src/laburnumpitch/fleet/fleet_view.py
@@ -76,6 +76,9 @@
         """Pieces of which a completed answer is reported to the leader."""
         self.assignments: dict[str, str] = {}
         """Host of each assignment, by its name."""
+        self.builds: dict[str, dict[str, bool]] | None = None
+        """Committed builds by service, and whether streams may begin on them; None if
+        the leader does not record them."""
         self.members: list[Member] = []
         """Members of the replicated log."""
         self.facts: FleetFacts | None = None
@@ -216,6 +219,7 @@
         self.quarantined_pieces = frozenset(facts.quarantined_pieces)
         self.suspect_pieces = frozenset(facts.suspect_pieces)
         self.assignments = facts.keepers
+        self.builds = facts.builds
         self.members = facts.members
         self.hosts = facts.hosts
         self.node_count = max(1, len(facts.hosts))
--- a/src/laburnumpitch/fleet/messages.py
+++ b/src/laburnumpitch/fleet/messages.py
@@ -19,6 +19,8 @@
     control_address: str
     data_centre: str
     has_disk: bool
+    knows_builds: bool = False
+    """Whether its software can apply `StoreBuilds`; older software cannot."""
 
 
 class JoinCore(Message):
@@ -60,6 +62,8 @@
     """Remaining time for which the target is slow after its start."""
     versions: dict[str, int] = field(default_factory=dict)
     """Weight version by model."""
+    build: str = ""
+    """Version of the target's software."""
 
 
 class Announce(Message):
@@ -121,6 +125,9 @@
     """Pieces that may crash targets; nodes report completed answers on them."""
     leader_host: str = ""
     """Host of the leader that published the facts."""
+    builds: dict[str, dict[str, bool]] | None = None
+    """Committed builds by service, and whether streams may begin on each of them. None
+    from a leader whose software does not record builds."""
 
 
 class FleetSnapshot(Message):
@@ -270,6 +277,10 @@
     """Targets that must not be chosen."""
     suspects: list[str]
     """Targets in backoff at the calling node, since they failed it recently."""
+    is_resumable: bool = False
+    """Whether the answer is a stream that may go on at another target."""
+    build: str = ""
+    """Build that the target must have, since it began the stream; empty for any."""
 
 
 class PlaceAnswer(Message):
@@ -293,6 +304,28 @@
     """Placements that are released."""
 
 
+class StreamBegun(Message):
+    """Tells a node which build began a stream; a notice that may be lost."""
+
+    attempt_id: str
+    """Identifier of the client's attempt that received the first event."""
+    service: str
+    build: str
+
+
+class FindStream(Message):
+    """Asks a node which build began a stream."""
+
+    attempt_id: str
+
+
+class StreamFound(Message):
+    """The build that began a stream; empty if the node does not know it."""
+
+    service: str
+    build: str
+
+
 class StoreConfiguration(Message):
     """Log command: puts a configuration in force unless a newer one is."""
 
@@ -307,3 +340,12 @@
     model: str
     version: int
     time_s: float = 0.0
+
+
+class StoreBuilds(Message):
+    """Log command: replaces the builds of a service."""
+
+    service: str
+    builds: dict[str, bool]
+    """Whether streams may begin on each build; empty to forget the service."""
+    time_s: float = 0.0
--- a/src/laburnumpitch/fleet/subscriptions.py
+++ b/src/laburnumpitch/fleet/subscriptions.py
@@ -109,6 +109,18 @@
                 self.log.info("nodes_missing", hosts=sorted(self.awaited_hosts)[:5])
                 self.awaited_hosts.clear()
 
+    def list_pending_hosts(self, sequence: int) -> list[str]:
+        """Return the reachable nodes that have not confirmed a change."""
+        return [
+            host
+            for host in self.list_live_hosts()
+            if self.by_host[host].confirmed_sequence < sequence
+        ]
+
+    def has_confirmed(self, sequence: int) -> bool:
+        """Whether every reachable node has confirmed a change."""
+        return not self.list_pending_hosts(sequence)
+
     async def wait_confirmed(self, sequence: int) -> bool:
         """Wait until every reachable node has confirmed a change.
 
@@ -117,11 +129,7 @@
         """
         deadline_s = self.get_time_s() + CONFIRM_TIMEOUT_S
         while not self.is_closed:
-            pending_hosts = [
-                host
-                for host in self.list_live_hosts()
-                if self.by_host[host].confirmed_sequence < sequence
-            ]
+            pending_hosts = self.list_pending_hosts(sequence)
             if not pending_hosts:
                 return True
             if not await self.wait_for_call(deadline_s):
--- a/src/laburnumpitch/fleet/target_table.py
+++ b/src/laburnumpitch/fleet/target_table.py
@@ -171,8 +171,8 @@
 def merge_with_previous(record: TargetRecord, previous: TargetRecord) -> TargetRecord:
     """Return an announcement merged with the same incarnation's previous record.
 
-    A target does not stop leaving, its weight versions do not decrease, and the leader
-    alone sets `is_loading` and `is_retiring`.
+    A target does not stop leaving, its weight versions do not decrease, its build does
+    not change, and the leader alone sets `is_loading` and `is_retiring`.
     """
     versions = {
         model: max(version, previous.versions.get(model, 0))
@@ -184,6 +184,7 @@
         is_loading=previous.is_loading,
         is_retiring=previous.is_retiring,
         versions=versions,
+        build=previous.build or record.build,
     )
 
 
--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import os
-import random
 import time
 from pathlib import Path
 
@@ -15,39 +14,25 @@
 from .control.raft_messages import Member
 from .errors import SettingsError
 from .fleet.bootstrap import ClusterBootstrap
+from .fleet.build_registry import BuildRegistry
 from .fleet.fleet_view import FleetView
 from .fleet.leader_client import LeaderClient
 from .fleet.leader_service import LeaderService
-from .fleet.messages import (
-    CancelSaves,
-    GrantContext,
-    Hello,
-    NodeRecord,
-    PlaceCall,
-    PlaceProgress,
-)
+from .fleet.messages import Hello, NodeRecord
 from .fleet.replica_manager import ReplicaManager
 from .fleet.rollout_controller import RolloutController
 from .fleet.snapshot_file import SnapshotFile
-from .fleet.store_owners import StoreOwners, list_managed_stores
+from .fleet.store_owners import list_managed_stores
 from .fleet.voter_set import VoterSet
+from .fleet_relay import FleetRelay
 from .logging import get_logger
 from .metrics import Metrics
 from .metrics_server import make_metrics_server
 from .platform.configuration import decode_configuration
 from .platform.control_api import ControlApi, ReadinessApi
-from .platform.http_headers import HeaderTranslator
 from .platform.settings_file import FleetSettings, read_settings
 from .platform.target_client import PlatformEngineClient, PlatformStoreClient
-from .relay.context_planner import ContextPlanner
-from .relay.coordinator import Coordinator, make_assignment_key
-from .relay.dispatcher import Dispatcher
-from .relay.placement_client import PlacementClient
-from .relay.relay_api import RelayApi
-from .relay.retry_limiter import RetryLimiter
-from .relay.services import RelayServices
-from .relay.target_catalog import TargetCatalog
-from .relay.target_statistics import TargetStatistics
+from .relay.coordinator import make_assignment_key
 from .transport.http_server import HttpServer
 from .transport.rpc import RpcPool, RpcServer
 from .transport.server_limits import ServerLimits
@@ -97,6 +82,7 @@
             settings.control_address,
             settings.data_centre,
             bool(settings.data_folder),
+            knows_builds=True,
         )
         self.zmq_context = zmq.asyncio.Context()
         self.rpc_pool = RpcPool(self.zmq_context)
@@ -130,7 +116,14 @@
             settings.control_address,
             decode_configuration,
         )
-        self.make_relay_components()
+        self.relay = FleetRelay(
+            settings,
+            self.fleet_view,
+            self.store_client,
+            self.leader_client,
+            self.rpc_pool,
+            self.metrics,
+        )
         self.make_servers()
 
     def make_replica_manager(self) -> ReplicaManager | None:
@@ -162,63 +155,14 @@
             key=lambda store: (-store.capacity_tokens, store.address),
         )
         store_names = [store.address for store in stores]
-        service_names = [
-            service.name for service in configuration.services if service.store is None
-        ]
-        return store_names + [
-            make_assignment_key(service_name) for service_name in service_names
-        ]
+        return store_names + [make_assignment_key(s) for s in self.list_services()]
 
-    def make_relay_components(self) -> None:
-        """Make the components that relay clients' requests."""
-        settings = self.settings
-        random_source = random.Random()
-        statistics = TargetStatistics(time.monotonic)
-        self.fleet_view.get_local_loads = statistics.get_loads
-        catalog = TargetCatalog(
-            self.fleet_view, statistics, time.monotonic, settings.outdated_weights_s
-        )
-        self.coordinator = Coordinator(catalog, time.monotonic, random_source)
-        self.placement_client = PlacementClient(
-            self.fleet_view,
-            self.coordinator,
-            self.rpc_pool,
-            settings.rpc_port,
-            self.metrics,
-            time.monotonic,
-        )
-        self.dispatcher = Dispatcher(
-            catalog, self.placement_client, time.monotonic, random_source
-        )
-        retry_limiter = RetryLimiter(
-            settings.retry_ratio,
-            settings.retry_slack,
-            settings.retry_window_s,
-            lambda: self.fleet_view.node_count,
-            time.monotonic,
-        )
-        self.store_owners = StoreOwners(
-            self.fleet_view, self.store_client, get_boottime_s
-        )
-        planner = ContextPlanner(
-            self.fleet_view,
-            self.store_owners,
-            self.rpc_pool,
-            settings.rpc_port,
-            self.metrics,
-        )
-        self.relay_services = RelayServices(
-            self.fleet_view,
-            self.dispatcher,
-            planner,
-            statistics,
-            HeaderTranslator(),
-            retry_limiter,
-            self.leader_client,
-            self.metrics,
-            time.monotonic,
-        )
-        self.relay_api = RelayApi(self.relay_services, random_source)
+    def list_services(self) -> list[str]:
+        """Return the names of the configured services that have targets."""
+        configuration = self.fleet_view.configuration
+        if configuration is None:
+            return []
+        return [s.name for s in configuration.services if s.store is None]
 
     def make_servers(self) -> None:
         """Make the HTTP servers for clients, the platform, operators and metrics."""
@@ -226,7 +170,7 @@
         control_api = ControlApi(self.leader_client)
         ready_api = ReadinessApi(self.is_ready)
         self.client_server = HttpServer(
-            *split_address(settings.client_address), self.relay_api.handle
+            *split_address(settings.client_address), self.relay.api.handle
         )
         self.control_server = HttpServer(
             *split_address(settings.control_address), control_api.handle
@@ -257,10 +201,7 @@
         )
         self.fleet_view.on_change.append(self.apply_client_limits)
         self.rpc_server.on(Hello, self.bootstrap.on_hello)
-        self.rpc_server.on(GrantContext, self.store_owners.on_grant)
-        self.rpc_server.on(CancelSaves, self.store_owners.on_cancel_saves)
-        self.rpc_server.on(PlaceCall, self.coordinator.on_place_call)
-        self.rpc_server.on(PlaceProgress, self.coordinator.on_place_progress)
+        self.relay.register(self.rpc_server)
         self.leader_service.register(self.rpc_server)
         await self.rpc_server.start()
         if self.replica_manager is not None:
@@ -278,6 +219,10 @@
                 get_boottime_s,
             )
             self.rollout_task = asyncio.create_task(self.rollout_controller.run())
+            registry = BuildRegistry(
+                self.replica_manager, self.list_services, get_boottime_s
+            )
+            self.registry_task = asyncio.create_task(registry.run())
         await self.fleet_view.start()
         self.bootstrap_task = asyncio.create_task(self.run_bootstrap())
         for server in self.http_servers:
@@ -370,7 +315,7 @@
         await asyncio.sleep(min(DRAIN_ACCEPT_S, drain_s))
         self.client_server.stop_accepting()
         # Clients may go on to use their open connections.
-        self.relay_api.closes_at_s = deadline_s
+        self.relay.api.closes_at_s = deadline_s
         while self.client_server.connection_tasks and time.monotonic() < deadline_s:
             await self.client_server.close_idle()
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
@@ -382,14 +327,13 @@
         await asyncio.gather(*(server.close() for server in self.http_servers))
         await self.fleet_view.close()
         if self.replica_manager is not None:
-            await cancel_and_wait(self.rollout_task, self.snapshot_task)
+            await cancel_and_wait(
+                self.rollout_task, self.registry_task, self.snapshot_task
+            )
             await self.replica_manager.close()
         self.engine_client.close()
-        await self.store_owners.close()
+        await self.relay.close()
         self.store_client.close()
-        self.dispatcher.close()
-        self.placement_client.close()
-        self.relay_services.close()
         await self.rpc_server.close()
         self.rpc_pool.close()
         self.zmq_context.term()
--- /dev/null
+++ b/src/laburnumpitch/fleet_relay.py
@@ -0,0 +1,111 @@
+"""The components of a fleet's node that relay clients' requests."""
+
+from __future__ import annotations
+
+import random
+import time
+
+from .clock_sources import get_boottime_s
+from .fleet.fleet_view import FleetView
+from .fleet.leader_client import LeaderClient
+from .fleet.messages import (
+    CancelSaves,
+    FindStream,
+    GrantContext,
+    PlaceCall,
+    PlaceProgress,
+    StreamBegun,
+)
+from .fleet.store_client import StoreClient
+from .fleet.store_owners import StoreOwners
+from .metrics import Metrics
+from .platform.http_headers import HeaderTranslator
+from .platform.settings_file import FleetSettings
+from .relay.context_planner import ContextPlanner
+from .relay.coordinator import Coordinator
+from .relay.dispatcher import Dispatcher
+from .relay.placement_client import PlacementClient
+from .relay.relay_api import RelayApi
+from .relay.retry_limiter import RetryLimiter
+from .relay.services import RelayServices
+from .relay.stream_origins import StreamOrigins
+from .relay.target_catalog import TargetCatalog
+from .relay.target_statistics import TargetStatistics
+from .transport.rpc import RpcPool, RpcServer
+
+
+class FleetRelay:
+    """Makes and closes the components.
+
+    Args:
+        settings: Settings of the node.
+        fleet_view: The node's copy of the fleet's state.
+        store_client: Calls stores.
+        leader_client: Finds and calls the leader.
+        pool: Connections to other nodes.
+        metrics: Records measurements.
+    """
+
+    def __init__(
+        self,
+        settings: FleetSettings,
+        fleet_view: FleetView,
+        store_client: StoreClient,
+        leader_client: LeaderClient,
+        pool: RpcPool,
+        metrics: Metrics,
+    ) -> None:
+        random_source = random.Random()
+        port = settings.rpc_port
+        get_time_s = time.monotonic
+        statistics = TargetStatistics(get_time_s)
+        fleet_view.get_local_loads = statistics.get_loads
+        catalog = TargetCatalog(
+            fleet_view, statistics, get_time_s, settings.outdated_weights_s
+        )
+        self.coordinator = Coordinator(catalog, get_time_s, random_source)
+        self.placement_client = PlacementClient(
+            fleet_view, self.coordinator, pool, port, metrics, get_time_s
+        )
+        self.dispatcher = Dispatcher(
+            catalog, self.placement_client, get_time_s, random_source
+        )
+        retry_limiter = RetryLimiter(
+            settings.retry_ratio,
+            settings.retry_slack,
+            settings.retry_window_s,
+            lambda: fleet_view.node_count,
+            get_time_s,
+        )
+        self.store_owners = StoreOwners(fleet_view, store_client, get_boottime_s)
+        planner = ContextPlanner(fleet_view, self.store_owners, pool, port, metrics)
+        self.stream_origins = StreamOrigins(fleet_view, pool, port, metrics, get_time_s)
+        self.services = RelayServices(
+            fleet_view,
+            self.dispatcher,
+            planner,
+            statistics,
+            HeaderTranslator(),
+            retry_limiter,
+            self.stream_origins,
+            leader_client,
+            metrics,
+            get_time_s,
+        )
+        self.api = RelayApi(self.services, random_source)
+
+    def register(self, server: RpcServer) -> None:
+        """Register the handlers of other nodes' messages at a server."""
+        server.on(GrantContext, self.store_owners.on_grant)
+        server.on(CancelSaves, self.store_owners.on_cancel_saves)
+        server.on(PlaceCall, self.coordinator.on_place_call)
+        server.on(PlaceProgress, self.coordinator.on_place_progress)
+        server.on(StreamBegun, self.stream_origins.on_stream_begun)
+        server.on(FindStream, self.stream_origins.on_find_stream)
+
+    async def close(self) -> None:
+        """Stop the components."""
+        await self.store_owners.close()
+        self.dispatcher.close()
+        self.placement_client.close()
+        self.services.close()
--- a/src/laburnumpitch/platform/announcements.py
+++ b/src/laburnumpitch/platform/announcements.py
@@ -33,6 +33,8 @@
     sequence: int
     born: int
     """Start of the target, in Unix milliseconds."""
+    version: str
+    """Version of the target's software, not of its weights."""
     cold_remaining_ms: float = 0
     models: list[WireModel] = []
 
@@ -68,4 +70,5 @@
         is_leaving=announcement.state == DRAINING_STATE,
         cold_s=max(0.0, announcement.cold_remaining_ms / MS_PER_S),
         versions={model.name: model.version for model in announcement.models},
+        build=announcement.version,
     )
--- a/src/laburnumpitch/platform/http_headers.py
+++ b/src/laburnumpitch/platform/http_headers.py
@@ -59,6 +59,9 @@
 """All pieces of the prompt, not a hash of its prefix."""
 
 REQUEST_PRIORITY = "request-priority"
+RESUMES = "resumes"
+"""Identifier of the client's attempt that received the first event of a stream."""
+
 RETRY_AFTER = "retry-after"
 SERVER_SEAL = "server-seal"
 """Set by a target on each successful answer."""
@@ -188,6 +191,7 @@
             output_tokens=token_counts[1] if len(token_counts) > 1 else 0,
             pieces=pieces,
             last_event_id=headers.get(LAST_EVENT_ID, ""),
+            begun_by=headers.get(RESUMES, ""),
         )
 
     def get_request_id(self, request: HttpRequest) -> str:
--- a/src/laburnumpitch/policy/silent_target.py
+++ b/src/laburnumpitch/policy/silent_target.py
@@ -19,8 +19,8 @@
     """Whether the node may send one more retry to the service."""
     is_suspect: bool
     """Whether the request may crash another target."""
-    other_targets: int
-    """Targets that have neither failed, nor rejected, nor got the request."""
+    has_other_target: bool
+    """Whether a target may go on that has not failed, rejected or got the request."""
     remaining_s: float
     """Time left until the request has to be answered."""
     objective_s: float
@@ -33,6 +33,6 @@
         outlook.runs_left > 0
         and outlook.has_budget
         and not outlook.is_suspect
-        and outlook.other_targets > 0
+        and outlook.has_other_target
         and outlook.remaining_s > outlook.objective_s
     )
--- a/src/laburnumpitch/relay/answer_deadlines.py
+++ b/src/laburnumpitch/relay/answer_deadlines.py
@@ -33,6 +33,7 @@
         services: Services that all runs share.
         deadline_s: Monotonic time by which the request must be answered.
         get_runs_left: Returns the number of further targets that may run the request.
+        get_build: Returns the build that another target must have; empty for any.
     """
 
     def __init__(
@@ -40,10 +41,12 @@
         services: RelayServices,
         deadline_s: float,
         get_runs_left: Callable[[], int],
+        get_build: Callable[[], str],
     ) -> None:
         self.services = services
         self.deadline_s = deadline_s
         self.get_runs_left = get_runs_left
+        self.get_build = get_build
         self.reserved: ReservedTarget | None = None
         self.next_attempt_s = 0.0
         self.has_recorded_silence = False
@@ -90,7 +93,10 @@
         """
         now_s = self.services.get_time_s()
         if self.reserved is not None:
-            return now_s
+            if self.get_build() in ("", self.reserved.target.build):
+                return now_s
+            # A build began the stream after the reservation.
+            self.release_reserved()
         if now_s >= self.next_attempt_s:
             self.next_attempt_s = now_s + RECHECK_INTERVAL_S
             if await self.try_reserve():
@@ -102,12 +108,15 @@
     async def try_reserve(self) -> bool:
         """Reserve capacity for the request at another target, if one has any."""
         dispatcher = self.services.dispatcher
-        if not self.can_run_elsewhere() or dispatcher.has_queue_ahead(self.admitted):
+        build = self.get_build()
+        if not self.can_run_elsewhere() or dispatcher.has_queue_ahead(
+            self.admitted, build
+        ):
             return False
         # Placements belong to an object; the first one is in use until the request
         # leaves its target.
         admitted = replace(self.admitted)
-        target = await dispatcher.try_acquire(admitted, self.excluded)
+        target = await dispatcher.try_acquire(admitted, self.excluded, build)
         if target is None:
             return False
         self.reserved = ReservedTarget(target, admitted)
@@ -120,12 +129,14 @@
     def can_run_elsewhere(self) -> bool:
         """Whether another target may run the request, if it has capacity."""
         services, admitted = self.services, self.admitted
-        targets = services.dispatcher.catalog.get_targets(admitted.service)
+        catalog = services.dispatcher.catalog
         outlook = RetryOutlook(
             runs_left=self.get_runs_left(),
             has_budget=services.retry_limiter.has_budget(admitted.service),
             is_suspect=services.crash_reports.is_suspect(admitted),
-            other_targets=sum(t.target_id not in self.excluded for t in targets),
+            has_other_target=catalog.has_other_target(
+                admitted.service, self.get_build(), self.excluded
+            ),
             remaining_s=self.remaining_s,
             objective_s=admitted.route.objective_s,
         )
--- a/src/laburnumpitch/relay/dispatcher.py
+++ b/src/laburnumpitch/relay/dispatcher.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Protocol
 
 from ..errors import NoTargetError, OverloadedError
@@ -13,11 +12,12 @@
 from ..fleet.messages import FleetLoad, PlaceAnswer, PlaceCall, TargetRecord
 from ..policy.backlog_bound import get_max_backlog_s
 from ..policy.capacity import TargetCapacity, has_capacity
-from ..policy.queue_priority import QueuePriority, can_meet_objective, get_sort_key
+from ..policy.queue_priority import QueuePriority, can_meet_objective
 from ..policy.send_window import SendWindow
 from ..policy.target_selection import choose_target, estimate_other_nodes_load
 from .placement_client import Placement
 from .request import AdmittedRequest
+from .request_queue import QueuedRequest, QueueKey, RequestQueue, make_priority
 from .target_catalog import TargetCatalog
 
 MAX_WAIT_OBJECTIVES = 1.0
@@ -48,16 +48,6 @@
         """Report that a placement is released."""
 
 
-@dataclass(eq=False)
-class QueuedRequest:
-    """A request that waits in the queue for a target with capacity."""
-
-    priority: QueuePriority
-    admitted: AdmittedRequest
-    excluded: frozenset[str]
-    future: asyncio.Future[TargetRecord]
-
-
 class Dispatcher:
     """Assigns requests to targets.
 
@@ -84,17 +74,17 @@
         self.placement_source = placement_source
         self.get_time_s = get_time_s
         self.random = random_source
-        self.queue: list[QueuedRequest] = []
+        self.queue = RequestQueue(get_time_s)
         self.placements: dict[int, Placement] = {}
         """Placements by `id` of the request that holds them."""
         self.send_windows: dict[str, SendWindow] = {}
         """Bounds on the prompts in prefill without a coordinator, by service."""
-        self.dispatch_tasks: dict[str, asyncio.Task[None]] = {}
-        """Tasks that dispatch the queued requests, by service."""
+        self.dispatch_tasks: dict[QueueKey, asyncio.Task[None]] = {}
+        """Tasks that dispatch the queued requests."""
         self.wakeup = asyncio.Event()
         """Set when a queued request may get a target; replaced each time."""
-        self.retry_delays_s: dict[str, float] = {}
-        """Delay before a coordinator is called again, by service."""
+        self.retry_delays_s: dict[QueueKey, float] = {}
+        """Delay before a coordinator is called again for a queue."""
         self.fleet_view.on_change.append(self.on_fleet_change)
         self.fleet_view.on_other_loads = self.wake_queues
 
@@ -113,35 +103,43 @@
         return len(self.queue)
 
     async def acquire(
-        self, admitted: AdmittedRequest, excluded: frozenset[str], deadline_s: float
+        self,
+        admitted: AdmittedRequest,
+        excluded: frozenset[str],
+        deadline_s: float,
+        build: str = "",
     ) -> TargetRecord:
         """Return a target for a request, and count the request there.
 
+        Args:
+            admitted: The request.
+            excluded: Targets that must not be chosen.
+            deadline_s: Monotonic time by which the request must be answered.
+            build: Build that the target must have; empty for any.
+
         Raises:
-            NoTargetError: If the service has no target that is not excluded.
+            NoTargetError: If the service has no such target.
             OverloadedError: If no target had capacity in time.
         """
-        targets = self.catalog.get_targets(admitted.service)
-        if all(target.target_id in excluded for target in targets):
+        if not self.catalog.has_other_target(admitted.service, build, excluded):
             raise NoTargetError(f"{admitted.service} has no target")
-        if not self.has_queue_ahead(admitted):
-            target = await self.try_acquire(admitted, excluded)
+        if not self.has_queue_ahead(admitted, build):
+            target = await self.try_acquire(admitted, excluded, build)
             if target is not None:
                 return target
-        return await self.wait_in_queue(admitted, excluded, deadline_s)
+        return await self.wait_in_queue(admitted, excluded, deadline_s, build)
 
-    def has_queue_ahead(self, admitted: AdmittedRequest) -> bool:
-        """Whether a queued request of the service comes before this one."""
-        now_s = self.get_time_s()
-        own_key = get_sort_key(make_priority(admitted), now_s)
-        return any(
-            queued.admitted.service == admitted.service
-            and get_sort_key(queued.priority, now_s) < own_key
-            for queued in self.queue
-        )
+    def has_queue_ahead(self, admitted: AdmittedRequest, build: str) -> bool:
+        """Whether a queued request of the same queue comes before this one."""
+        key = (admitted.service, build)
+        return self.queue.has_ahead(key, make_priority(admitted))
 
     async def wait_in_queue(
-        self, admitted: AdmittedRequest, excluded: frozenset[str], deadline_s: float
+        self,
+        admitted: AdmittedRequest,
+        excluded: frozenset[str],
+        deadline_s: float,
+        build: str,
     ) -> TargetRecord:
         """Return a target once the request is dispatched from the queue.
 
@@ -154,9 +152,10 @@
             (deadline_s - now_s) * MAX_WAIT_SHARE, objective_s * MAX_WAIT_OBJECTIVES
         )
         future = asyncio.get_running_loop().create_future()
-        queued = QueuedRequest(make_priority(admitted), admitted, excluded, future)
-        self.queue.append(queued)
-        self.start_dispatching(admitted.service)
+        priority = make_priority(admitted)
+        queued = QueuedRequest(priority, admitted, excluded, build, future)
+        self.queue.add(queued)
+        self.start_dispatching(queued.key)
         try:
             # Not wait_for, which drops a cancellation that comes with the result.
             await asyncio.wait({future}, timeout=max(0.0, wait_s))
@@ -165,8 +164,7 @@
                 self.release_unused(future.result(), admitted)
             raise
         finally:
-            if queued in self.queue:
-                self.queue.remove(queued)
+            self.queue.discard(queued)
         if not future.done():
             raise OverloadedError(f"{admitted.service} has no target with capacity")
         return future.result()
@@ -176,54 +174,45 @@
         self.wakeup.set()
         self.wakeup = asyncio.Event()
 
-    def start_dispatching(self, service: str) -> None:
-        """Start the task that dispatches a service's queue, unless it runs."""
-        if service not in self.dispatch_tasks:
-            self.dispatch_tasks[service] = asyncio.create_task(
-                self.dispatch_queue(service)
-            )
+    def start_dispatching(self, key: QueueKey) -> None:
+        """Start the task that dispatches a queue, unless it runs."""
+        if key not in self.dispatch_tasks:
+            self.dispatch_tasks[key] = asyncio.create_task(self.dispatch_queue(key))
 
-    async def dispatch_queue(self, service: str) -> None:
-        """Dispatch a service's queued requests until none is left."""
+    async def dispatch_queue(self, key: QueueKey) -> None:
+        """Dispatch the requests of a queue until none is left."""
         try:
-            while queued := self.find_first_queued(service):
+            while queued := self.queue.find_first(key):
                 await self.dispatch_first(queued)
         finally:
             # No await may come between the last check of the queue and this deletion,
             # or a request queued in between would wait for a task that has ended.
-            del self.dispatch_tasks[service]
+            del self.dispatch_tasks[key]
 
     async def dispatch_first(self, queued: QueuedRequest) -> None:
         """Dispatch the first request, or wait a moment if no target has capacity.
 
         Later requests do not overtake it, or large prompts would never be dispatched.
         """
-        service = queued.admitted.service
         wakeup = self.wakeup
-        target = await self.try_acquire(queued.admitted, queued.excluded)
+        target = await self.try_acquire(queued.admitted, queued.excluded, queued.build)
         if target is None:
             try:
                 async with asyncio.timeout(
-                    self.retry_delays_s.get(service, RECHECK_INTERVAL_S)
+                    self.retry_delays_s.get(queued.key, RECHECK_INTERVAL_S)
                 ):
                     await wakeup.wait()
             except asyncio.TimeoutError:
                 # The caller retries.
                 return
         elif queued in self.queue and not queued.future.done():
-            self.queue.remove(queued)
+            self.queue.discard(queued)
             queued.future.set_result(target)
         else:
             self.release_unused(target, queued.admitted)
 
-    def find_first_queued(self, service: str) -> QueuedRequest | None:
-        """Return the queued request of a service that comes first, or None."""
-        now_s = self.get_time_s()
-        waiting = [q for q in self.queue if q.admitted.service == service]
-        return min(waiting, key=lambda q: get_sort_key(q.priority, now_s), default=None)
-
     def make_place_call(
-        self, admitted: AdmittedRequest, excluded: frozenset[str]
+        self, admitted: AdmittedRequest, excluded: frozenset[str], build: str
     ) -> PlaceCall:
         """Return the call that requests a placement."""
         metadata = admitted.metadata
@@ -245,6 +234,8 @@
             data_centre=self.fleet_view.node.data_centre,
             excluded=sorted(excluded),
             suspects=backoff_ids,
+            is_resumable=admitted.route.is_resumable,
+            build=build,
         )
 
     def get_max_backlog_s(
@@ -256,17 +247,18 @@
         return get_max_backlog_s(admitted.route.request_kind, kinds, is_late)
 
     async def try_acquire(
-        self, admitted: AdmittedRequest, excluded: frozenset[str]
+        self, admitted: AdmittedRequest, excluded: frozenset[str], build: str
     ) -> TargetRecord | None:
         """Return a target, and count the request there; None if none has capacity."""
-        call = self.make_place_call(admitted, excluded)
+        key = (admitted.service, build)
+        call = self.make_place_call(admitted, excluded, build)
         result = await self.placement_source.request_placement(call)
         if result is None:
-            self.retry_delays_s.pop(admitted.service, None)
+            self.retry_delays_s.pop(key, None)
             return self.choose_locally(admitted, call)
         answer, placement = result
         if placement is None:
-            self.retry_delays_s[admitted.service] = answer.wait_s
+            self.retry_delays_s[key] = answer.wait_s
             return None
         target = self.catalog.find_target(admitted.service, answer.target_id)
         if target is None or not self.catalog.is_eligible(target, call):
@@ -389,9 +381,3 @@
         """Release a target that the request does not use."""
         self.record_prefill_end(target, admitted, None)
         self.release(target, admitted)
-
-
-def make_priority(admitted: AdmittedRequest) -> QueuePriority:
-    """Return a request's priority in the queue."""
-    due_s = admitted.request.received_at_s + admitted.route.objective_s
-    return QueuePriority(admitted.priority_class, due_s)
--- a/src/laburnumpitch/relay/relay_api.py
+++ b/src/laburnumpitch/relay/relay_api.py
@@ -59,6 +59,8 @@
         run = None
         try:
             admitted = self.admit(request)
+            if admitted.is_take_up:
+                admitted = await self.services.stream_origins.bind(admitted)
             run = RelayRun(self.services, admitted, responder)
             await run.serve()
             self.record_delivered(run)
--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -22,6 +22,7 @@
 from .configuration import STREAMING
 from .request import AdmittedRequest, FallbackAnswer
 from .services import RelayServices
+from .stream_origins import StreamOrigin
 from .stream_relay import StreamRelay
 from .target_sender import TargetSender
 from .timeouts import get_gap_timeout_s, get_start_timeout_s
@@ -56,7 +57,10 @@
         self.route = admitted.route
         self.started_s = admitted.request.received_at_s
         self.deadlines = AnswerDeadlines(
-            services, self.started_s + admitted.timeout_s, self.count_runs_left
+            services,
+            self.started_s + admitted.timeout_s,
+            self.count_runs_left,
+            lambda: self.build,
         )
         self.sender = TargetSender(services, self.deadlines)
         self.excluded: set[str] = set()
@@ -70,6 +74,9 @@
         self.stream = StreamRelay(responder, self.route.is_resumable)
         self.first_event_s: float | None = None
         self.last_target_id = ""
+        self.build = admitted.build
+        """Build that began the stream, the only one that may go on with it; empty
+        before the first event."""
 
     @property
     def remaining_s(self) -> float:
@@ -127,7 +134,10 @@
             self.admitted = reserved.admitted
             return reserved.target
         return await self.services.dispatcher.acquire(
-            self.admitted, frozenset(self.excluded), self.deadlines.deadline_s
+            self.admitted,
+            frozenset(self.excluded),
+            self.deadlines.deadline_s,
+            self.build,
         )
 
     async def send(self, target: TargetRecord) -> None:
@@ -261,10 +271,21 @@
         """
         headers = self.services.make_answer_headers(answer.headers)
         gap_timeout_s = get_gap_timeout_s(self.route)
+        self.stream.on_start = lambda: self.bind_build(target)
         async for _ in self.stream.deliver(answer, headers):
             self.record_event(target)
             answer.deadline_s = self.deadlines.choose_deadline_s(gap_timeout_s)
 
+    def bind_build(self, target: TargetRecord) -> None:
+        """Record which build begins the stream, before its first event goes out."""
+        if not self.route.is_resumable:
+            return
+        self.build = target.build
+        self.services.stream_origins.record(
+            self.admitted.metadata.request_id,
+            StreamOrigin(target.service, target.build),
+        )
+
     def record_event(self, target: TargetRecord) -> None:
         """Record that an event of a stream has arrived, which ends the prefill."""
         services = self.services
--- a/src/laburnumpitch/relay/request.py
+++ b/src/laburnumpitch/relay/request.py
@@ -40,6 +40,9 @@
     """Pieces of the prompt in sequence; the last one is the request's own."""
     last_event_id: str
     """Last event that the client received of a stream; empty for a new stream."""
+    begun_by: str = ""
+    """Identifier of the attempt that received the first event of a stream that the
+    client takes up again; empty for a new stream."""
 
     @property
     def shared_pieces(self) -> tuple[PromptPiece, ...]:
@@ -68,6 +71,17 @@
     service: str
     organisation: Organisation | None
     configuration_version: int
+    build: str = ""
+    """Build that began the stream which the client takes up again; empty for a new
+    stream."""
+
+    @property
+    def is_take_up(self) -> bool:
+        """Whether the client goes on with a stream that another attempt began."""
+        metadata = self.metadata
+        return self.route.is_resumable and bool(
+            metadata.begun_by or metadata.last_event_id
+        )
 
     @property
     def priority_class(self) -> int:
--- /dev/null
+++ b/src/laburnumpitch/relay/request_queue.py
@@ -0,0 +1,80 @@
+"""The requests that wait at this node for a target with capacity."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..fleet.messages import TargetRecord
+from ..policy.queue_priority import QueuePriority, get_sort_key
+from .request import AdmittedRequest
+
+QueueKey = tuple[str, str]
+"""Service and build of a queue. Requests that need a certain build have queues of their
+own, as its targets may be full while others have capacity."""
+
+
+@dataclass(eq=False)
+class QueuedRequest:
+    """A request that waits in a queue for a target with capacity."""
+
+    priority: QueuePriority
+    admitted: AdmittedRequest
+    excluded: frozenset[str]
+    build: str
+    """Build that the target must have; empty for any."""
+    future: asyncio.Future[TargetRecord]
+
+    @property
+    def key(self) -> QueueKey:
+        """The queue that the request waits in."""
+        return (self.admitted.service, self.build)
+
+
+class RequestQueue:
+    """Queues by service and build, each ordered by priority.
+
+    Args:
+        get_time_s: Monotonic time.
+    """
+
+    def __init__(self, get_time_s: Callable[[], float]) -> None:
+        self.get_time_s = get_time_s
+        self.requests: list[QueuedRequest] = []
+
+    def __len__(self) -> int:
+        return len(self.requests)
+
+    def __contains__(self, queued: QueuedRequest) -> bool:
+        return queued in self.requests
+
+    def add(self, queued: QueuedRequest) -> None:
+        """Add a request."""
+        self.requests.append(queued)
+
+    def discard(self, queued: QueuedRequest) -> None:
+        """Remove a request, if it is still queued."""
+        if queued in self.requests:
+            self.requests.remove(queued)
+
+    def find_first(self, key: QueueKey) -> QueuedRequest | None:
+        """Return the request of a queue that comes first, or None."""
+        now_s = self.get_time_s()
+        waiting = [queued for queued in self.requests if queued.key == key]
+        return min(waiting, key=lambda q: get_sort_key(q.priority, now_s), default=None)
+
+    def has_ahead(self, key: QueueKey, priority: QueuePriority) -> bool:
+        """Whether a request of a queue comes before one with the given priority."""
+        now_s = self.get_time_s()
+        own_sort_key = get_sort_key(priority, now_s)
+        return any(
+            queued.key == key and get_sort_key(queued.priority, now_s) < own_sort_key
+            for queued in self.requests
+        )
+
+
+def make_priority(admitted: AdmittedRequest) -> QueuePriority:
+    """Return a request's priority in its queue."""
+    due_s = admitted.request.received_at_s + admitted.route.objective_s
+    return QueuePriority(admitted.priority_class, due_s)
--- a/src/laburnumpitch/relay/services.py
+++ b/src/laburnumpitch/relay/services.py
@@ -18,6 +18,7 @@
 from .leader_notices import LeaderNotices
 from .request import AdmittedRequest, Translator
 from .retry_limiter import RetryLimiter
+from .stream_origins import StreamOrigins
 from .target_statistics import TargetStatistics
 
 NOTICE_INTERVAL_S = 0.7
@@ -34,6 +35,7 @@
         statistics: This node's statistics of each target.
         translator: Reads and writes the platform's headers.
         retry_limiter: Limits retries.
+        stream_origins: Remembers which build began each stream.
         leader_client: Finds and calls the leader.
         metrics: Records measurements.
         get_time_s: Monotonic time.
@@ -47,6 +49,7 @@
         statistics: TargetStatistics,
         translator: Translator,
         retry_limiter: RetryLimiter,
+        stream_origins: StreamOrigins,
         leader_client: LeaderClient,
         metrics: Metrics,
         get_time_s: Callable[[], float],
@@ -57,6 +60,7 @@
         self.statistics = statistics
         self.translator = translator
         self.retry_limiter = retry_limiter
+        self.stream_origins = stream_origins
         self.metrics = metrics
         self.get_time_s = get_time_s
         self.clients = HttpClientPool()
--- a/src/laburnumpitch/relay/stream_relay.py
+++ b/src/laburnumpitch/relay/stream_relay.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from ..errors import TargetError
 from ..transport.http_client import HttpAnswer
@@ -23,6 +23,8 @@
         self.responder = responder
         self.is_resumable = is_resumable
         self.splitter = EventSplitter()
+        self.on_start: Callable[[], None] = lambda: None
+        """Called right before the head of the answer is sent."""
 
     @property
     def last_event_id(self) -> str:
@@ -61,4 +63,5 @@
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head of the answer, unless it was sent."""
         if not self.responder.has_started:
+            self.on_start()
             await self.responder.start(status, headers)
--- a/src/laburnumpitch/relay/target_catalog.py
+++ b/src/laburnumpitch/relay/target_catalog.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Container
 
 from ..fleet.fleet_view import FleetView
 from ..fleet.messages import PlaceCall, TargetRecord
@@ -58,6 +58,21 @@
         """Return the targets of a service without those that are leaving."""
         return self.by_service.get(service, [])
 
+    def has_other_target(
+        self, service: str, build: str, excluded: Container[str]
+    ) -> bool:
+        """Whether a service has a target that is not excluded.
+
+        Args:
+            service: The service.
+            build: Build that the target must have; empty for any.
+            excluded: Targets that are excluded.
+        """
+        return any(
+            target.target_id not in excluded and build in ("", target.build)
+            for target in self.get_targets(service)
+        )
+
     def find_target(self, service: str, target_id: str) -> TargetRecord | None:
         """Return a target of a service, or None if it is unknown or leaving."""
         for target in self.get_targets(service):
@@ -80,11 +95,22 @@
             return False
         if self.has_expired_weights(target, stats, call.model):
             return False
+        if not self.has_allowed_build(target, call):
+            return False
         return (
             not target.is_retiring
             or call.output_tokens * stats.token_s <= SHORT_GENERATION_S
         )
 
+    def has_allowed_build(self, target: TargetRecord, call: PlaceCall) -> bool:
+        """Whether a target's build may begin a stream, or go on with one."""
+        if call.build:
+            return target.build == call.build
+        builds = self.fleet_view.builds
+        if not call.is_resumable or builds is None:
+            return True
+        return builds.get(target.service, {}).get(target.build, False)
+
     def has_expired_weights(
         self, target: TargetRecord, stats: TargetStats, model: str
     ) -> bool:
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -140,6 +140,8 @@
         self.crash_count = 0
         """Number of its crashes by requests."""
         self.version = 1
+        self.build = "v1"
+        """Version of its software."""
         self.is_running = False
         self.tasks: set[asyncio.Task] = set()
         self.server: HttpServer | None = None
@@ -204,7 +206,7 @@
             "service": self.service,
             "address": self.address,
             "zone": "dc",
-            "version": "v1",
+            "version": self.build,
             "slots": self.slots,
             "state": "draining" if self.is_draining else "ready",
             "cold_remaining_ms": 0,
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -29,6 +29,7 @@
         "address": "127.0.0.1:9",
         "zone": "dc",
         "state": state,
+        "version": "v1",
         "slots": 4,
         "sequence": number,
         "born": 1000,
--- a/tests/fleet/test_fleet_publisher.py
+++ b/tests/fleet/test_fleet_publisher.py
@@ -32,7 +32,9 @@
 
 def make_publisher() -> FleetPublisher:
     """Return the publisher of a leader without targets."""
-    state = SimpleNamespace(configuration_version=1, configuration=b"", weights={})
+    state = SimpleNamespace(
+        configuration_version=1, configuration=b"", weights={}, builds={}
+    )
     replica = SimpleNamespace(
         require_leader=lambda: None,
         get_leader_name=lambda: "h0",
--- a/tests/fleet/test_target_table.py
+++ b/tests/fleet/test_target_table.py
@@ -95,3 +95,19 @@
         table.apply_changes([GONE], 0.0)
         table.apply_changes([FIRST], 0.1)
         self.assertEqual([], table.get_records())
+
+
+class BuildTest(testtools.TestCase):
+    """Announcements of one target with different builds."""
+
+    scenarios = [
+        ("same_incarnation", {"record": replace(FIRST, sequence=6), "expected": "v1"}),
+        ("new_incarnation", {"record": RESTARTED, "expected": "v2"}),
+    ]
+
+    def test_build(self) -> None:
+        """Only a new incarnation can have another build."""
+        table = TargetTable(ANNOUNCE_INTERVAL_S)
+        table.apply_announcement(replace(FIRST, build="v1"), 0.0)
+        table.apply_announcement(replace(self.record, build="v2"), 0.0)
+        self.assertEqual([self.expected], [r.build for r in table.get_records()])
--- a/tests/fuzz/test_decoders.py
+++ b/tests/fuzz/test_decoders.py
@@ -44,7 +44,8 @@
 )
 SAMPLES = {
     "announcement": b'{"service":"s","address":"1.2.3.4:5","zone":"z","state":"ready",'
-    b'"slots":4,"sequence":1,"born":2,"cold_remaining_ms":3.5,"models":[]}',
+    b'"slots":4,"sequence":1,"born":2,"cold_remaining_ms":3.5,"models":[],'
+    b'"version":"v1"}',
     "configuration": b'{"version":7,"routes":[{"name":"r","host":"h","path_prefix":'
     b'"/a/","route_type":"idempotent","timeout_ms":4000,"service":"s"}],"services":'
     b'[{"name":"s"}],"limits":{},"tenants":[{"name":"t","api_keys":["k"]}]}',
--- a/tests/policy/test_silent_target.py
+++ b/tests/policy/test_silent_target.py
@@ -12,7 +12,7 @@
     runs_left=1,
     has_budget=True,
     is_suspect=False,
-    other_targets=1,
+    has_other_target=True,
     remaining_s=1.0,
     objective_s=0.5,
 )
@@ -26,7 +26,10 @@
         ("no_run_left", {"changes": {"runs_left": 0}, "expected": False}),
         ("budget_spent", {"changes": {"has_budget": False}, "expected": False}),
         ("may_crash_it", {"changes": {"is_suspect": True}, "expected": False}),
-        ("no_other_target", {"changes": {"other_targets": 0}, "expected": False}),
+        (
+            "no_other_target",
+            {"changes": {"has_other_target": False}, "expected": False},
+        ),
         ("too_late", {"changes": {"remaining_s": 0.5}, "expected": False}),
         ("past_the_deadline", {"changes": {"remaining_s": -1.0}, "expected": False}),
     ]
--- a/tests/relay/relay_case.py
+++ b/tests/relay/relay_case.py
@@ -30,6 +30,7 @@
 from laburnumpitch.relay.request import AdmittedRequest, ContextPlan, RequestMetadata
 from laburnumpitch.relay.retry_limiter import RetryLimiter
 from laburnumpitch.relay.services import RelayServices
+from laburnumpitch.relay.stream_origins import StreamOrigins
 from laburnumpitch.relay.target_catalog import TargetCatalog
 from laburnumpitch.relay.target_statistics import TargetStatistics
 from laburnumpitch.transport.http_client import HttpClient
@@ -39,6 +40,7 @@
 
 SERVICE = "shop"
 API_KEY = "secret"
+BUILD = "v1"
 HOST = "127.0.0.1"
 REQUEST_ID = "a1"
 TIMEOUT_S = 10.0
@@ -207,6 +209,10 @@
 class RelayCase(testtools.TestCase):
     """Starts a relay in front of scripted targets."""
 
+    target_builds: dict[int, str] = {}
+    """Build of each target, by its number, other than `BUILD`."""
+    builds_on_record: dict[str, bool] = {BUILD: True}
+
     def run_relay(self, scripts: list[list[Script]], scenario) -> None:
         """Run a scenario with a client against a relay and its targets."""
 
@@ -225,9 +231,13 @@
         table = TargetTable(1.0)
         for number, target in enumerate(self.targets):
             address = f"{HOST}:{await target.start()}"
-            table.put(TargetRecord(f"t{number}", SERVICE, address, "dc", 1, 1, 4), 0.0)
+            build = self.target_builds.get(number, BUILD)
+            record = TargetRecord(
+                f"t{number}", SERVICE, address, "dc", 1, 1, 4, build=build
+            )
+            table.put(record, 0.0)
         node = NodeRecord(HOST, "n1", "", "", "dc", False)
-        fleet_view = SimpleNamespace(
+        fleet_view = self.fleet_view = SimpleNamespace(
             targets=table,
             configuration=CONFIGURATION,
             weight_versions={},
@@ -240,6 +250,9 @@
             assignments={},
             on_change=[],
             node=node,
+            hosts=[HOST],
+            builds={SERVICE: self.builds_on_record},
+            get_contact_age_s=lambda: 0.0,
         )
         statistics = TargetStatistics(time.monotonic)
         source = random.Random(1)
@@ -247,6 +260,9 @@
         dispatcher = Dispatcher(catalog, NoCoordinator(), time.monotonic, source)
         retry_limiter = RetryLimiter(0.2, 100.0, 10.0, lambda: 1, time.monotonic)
         self.notices: list[object] = []
+        self.stream_origins = StreamOrigins(
+            fleet_view, None, 0, Metrics(), time.monotonic
+        )
         services = RelayServices(
             fleet_view,
             dispatcher,
@@ -254,6 +270,7 @@
             statistics,
             HeaderTranslator(),
             retry_limiter,
+            self.stream_origins,
             SimpleNamespace(call=self.record_notice),
             Metrics(),
             time.monotonic,
--- a/tests/relay/test_coordinator.py
+++ b/tests/relay/test_coordinator.py
@@ -78,6 +78,7 @@
         assignments={make_assignment_key(SERVICE): coordinator},
         node=NodeRecord(HOST, "n1", "", "", "dc", True),
         term=1,
+        builds={},
         on_change=[],
     )
 
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -59,3 +59,35 @@
                 self.assertEqual(503, error.status)
 
         self.run_relay([[make_answer()]], scenario)
+
+
+class BuildQueueTest(RelayCase):
+    """Requests that only one build's targets may take, all of which are full."""
+
+    builds_on_record = {"v1": True, "v2": True}
+    target_builds = {1: "v2"}
+
+    def test_other_requests_are_not_blocked(self) -> None:
+        """A request that any target may take does not wait behind them."""
+
+        async def scenario() -> None:
+            dispatcher = self.services.dispatcher
+            admitted = self.make_admitted("resumed", prompt_tokens=0)
+            deadline_s = self.get_deadline_s()
+            for _ in range(2 * dispatcher.catalog.get_targets("shop")[0].slots):
+                target = await dispatcher.acquire(
+                    admitted, frozenset(), deadline_s, "v1"
+                )
+                self.assertEqual("t0", target.target_id)
+            waiting = asyncio.ensure_future(
+                dispatcher.acquire(admitted, frozenset(), deadline_s, "v1")
+            )
+            while not dispatcher.queue:
+                await asyncio.sleep(0)
+            later = self.make_admitted("resumed", prompt_tokens=0)
+            target = await dispatcher.acquire(later, frozenset(), deadline_s)
+            self.assertEqual("t1", target.target_id)
+            self.assertFalse(waiting.done())
+            waiting.cancel()
+
+        self.run_relay([[make_answer()], [make_answer()]], scenario)
