Keep the API key of a request that waits as organisations are removed

A target would have got a client's key.

Cause: whether the key is removed followed from the configuration in force as the request is sent, and not from the one under which the key was read.

The test failed before: the target's request had the key.

--- a/src/laburnumpitch/relay/target_sender.py
+++ b/src/laburnumpitch/relay/target_sender.py
@@ -109,7 +109,8 @@
             target=target,
             remaining_s=self.deadlines.remaining_s,
             organisation=organisation.name if organisation else "",
-            drops_api_key=services.has_organisations(),
+            # The key may have been read under an earlier configuration.
+            drops_api_key=organisation is not None or services.has_organisations(),
             priority_class=admitted.priority_class,
             weight_version=version,
             context=self.context,
--- /dev/null
+++ b/tests/relay/test_moved_keys.py
@@ -0,0 +1,34 @@
+"""API keys of requests that wait while the configuration changes."""
+
+from __future__ import annotations
+
+import asyncio
+
+from .relay_case import API_KEY, RelayCase, make_answer
+
+FULL = 100
+"""More requests than any target takes."""
+
+
+class WaitingRequestTest(RelayCase):
+    """A request waits for a target as the last organisation is removed."""
+
+    def test_key_stays_here(self) -> None:
+        """The target gets the organisation's name, and not the key."""
+
+        async def scenario() -> None:
+            stats = self.services.statistics.get("t0")
+            stats.running = FULL
+            sending = asyncio.ensure_future(self.send_request("read"))
+            while not self.services.dispatcher.queue:
+                await asyncio.sleep(0)
+            self.change_configuration(organisations=())
+            stats.running = 0
+            self.services.dispatcher.wake_queues()
+            status, _, _ = await sending
+            self.assertEqual(200, status)
+            (request,) = self.targets[0].requests
+            self.assertNotIn(API_KEY.encode(), request)
+            self.assertIn(b"tenant: org", request.lower())
+
+        self.run_relay([[make_answer()]], scenario)
