Raise a typed error for messages that cannot be encoded

Seen by callers: an engine whose report stated a weight version of 70 bits cut all nodes off from the leader. A configuration with a version of more than 64 bits stopped the leader's replica. By reading, not by a run: its call got no answer, and operators send it on to the next leader.

Cause: the encoder's OverflowError is no error of this package. The leader took the report's version into the target's record, so each later answer to a node's `Follow` call had a value that cannot be encoded; the encoding was outside the handler's try block, so no answer was sent at all. In the replica it counted as a failed disk (`replica_failed`), and the proposal's future was never completed. Where a call was encoded, the error passed every `except LaburnumpitchError` on the way.

Ruled out: a poisoned log. The command is encoded before it is appended.

Change: `encode` raises CodecError. A proposal that cannot be encoded fails alone. An answer that cannot be encoded is logged with its traceback and answered with the error. The target table refuses a record that cannot be encoded, so one record cannot fail the answers to all nodes.

--- a/src/laburnumpitch/control/replica.py
+++ b/src/laburnumpitch/control/replica.py
@@ -16,7 +16,7 @@
 from msgspec.structs import replace
 
 from .._tasks import cancel_and_wait
-from ..errors import ControlUnavailableError, NotLeaderError
+from ..errors import CodecError, ControlUnavailableError, NotLeaderError
 from ..logging import get_logger
 from ..metrics import Metrics
 from ..transport.codec import decode, encode
@@ -175,6 +175,7 @@
         """Commit a command and return its result.
 
         Raises:
+            CodecError: If the command cannot be encoded; nothing was proposed.
             NotLeaderError: If this replica is not the leader; nothing was proposed.
             ControlUnavailableError: If the outcome is unknown; the command may
                 be retried, since commands are idempotent.
@@ -240,12 +241,7 @@
         if item is None:
             return
         if isinstance(item, Proposal):
-            log_position = self.core.propose(encode(item.command))
-            if log_position is None:
-                error = NotLeaderError(self.get_leader_name())
-                fail_future(item.future, error)
-            else:
-                self.pending_proposals[log_position[0]] = (log_position[1], item)
+            self.handle_proposal(item)
         elif isinstance(item, MembershipProposal):
             is_accepted = self.core.propose_membership_change(item.members)
             if not item.future.done():
@@ -253,6 +249,19 @@
         else:
             self.core.on_message(item, self.get_time_s())
 
+    def handle_proposal(self, proposal: Proposal) -> None:
+        """Append a command to the log, or fail its proposal."""
+        try:
+            log_position = self.core.propose(encode(proposal.command))
+        except CodecError as error:
+            # The command is at fault, not the replica.
+            fail_future(proposal.future, error)
+            return
+        if log_position is None:
+            fail_future(proposal.future, NotLeaderError(self.get_leader_name()))
+        else:
+            self.pending_proposals[log_position[0]] = (log_position[1], proposal)
+
     async def persist(self) -> None:
         """Sync the core's writes, which must be durable before messages are sent."""
         writes = self.core.pop_pending_writes()
--- a/src/laburnumpitch/fleet/target_table.py
+++ b/src/laburnumpitch/fleet/target_table.py
@@ -12,6 +12,7 @@
 
 from msgspec.structs import replace
 
+from ..transport.codec import check_encodable
 from .messages import TargetRecord
 
 TOMBSTONE_S = 60.0
@@ -86,7 +87,13 @@
         return True
 
     def put(self, record: TargetRecord, now_s: float) -> None:
-        """Store a changed record; older targets at its address are then gone."""
+        """Store a changed record; older targets at its address are then gone.
+
+        Raises:
+            CodecError: If the record cannot be sent to other nodes. In the table it
+                would fail the leader's answers to all of them.
+        """
+        check_encodable(record)
         self.sequence += 1
         self.entries[record.target_id] = TargetEntry(record, now_s, self.sequence)
         if record.is_gone:
--- a/src/laburnumpitch/transport/codec.py
+++ b/src/laburnumpitch/transport/codec.py
@@ -35,8 +35,32 @@
 
 
 def encode(item: Any) -> bytes:
-    """Encode a registered message."""
-    return _encoder.encode((SCHEMA_VERSION, type(item).__name__, CLOCK.tick(), item))
+    """Encode a registered message.
+
+    Raises:
+        CodecError: If a value cannot be encoded, such as an integer of more than 64
+            bits or a text that is not valid Unicode.
+    """
+    name = type(item).__name__
+    try:
+        return _encoder.encode((SCHEMA_VERSION, name, CLOCK.tick(), item))
+    except (
+        msgspec.MsgspecError,
+        OverflowError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ) as error:
+        raise CodecError(f"cannot encode {name}: {error}") from error
+
+
+def check_encodable(item: Any) -> None:
+    """Check that a message can be sent to other processes.
+
+    Raises:
+        CodecError: If it cannot.
+    """
+    encode(item)
 
 
 def decode(data: bytes) -> Any:
--- a/src/laburnumpitch/transport/rpc.py
+++ b/src/laburnumpitch/transport/rpc.py
@@ -161,11 +161,13 @@
         self, peer: bytes, request_id: bytes, kind: bytes, data: bytes
     ) -> None:
         """Call the handler of a request and send its answer."""
+        request_name = ""
         try:
             request = decode(data)
+            request_name = type(request).__name__
             handler = self.handlers.get(type(request))
             if handler is None:
-                raise CodecError(f"no handler for {type(request).__name__}")
+                raise CodecError(f"no handler for {request_name}")
             answer = await handler(request)
         except LaburnumpitchError as error:
             answer = ErrorAnswer(error.code, error.detail, error.retry_after_s)
@@ -174,7 +176,7 @@
             answer = ErrorAnswer(InternalError.code, repr(error))
         if kind == NOTIFICATION_KIND:
             return
-        payload = encode(answer if answer is not None else Done())
+        payload = self.encode_answer(request_name, answer)
         TRAFFIC.sent_bytes += len(payload)
         TRAFFIC.sent_messages += 1
         try:
@@ -184,6 +186,14 @@
         except zmq.ZMQError:
             self.log.info("rpc_answer_dropped", request=type(answer).__name__)
 
+    def encode_answer(self, request_name: str, answer: Any) -> bytes:
+        """Encode an answer, or the error that it cannot be encoded."""
+        try:
+            return encode(answer if answer is not None else Done())
+        except CodecError as error:
+            self.log.exception("rpc_answer_invalid", request=request_name)
+            return encode(ErrorAnswer(error.code, error.detail))
+
 
 class RpcClient:
     """Sends requests to one address.
@@ -218,6 +228,7 @@
             timeout_s: Seconds to wait for the answer.
 
         Raises:
+            CodecError: If the request cannot be encoded.
             RpcTimeoutError: If no answer arrived in time.
             LaburnumpitchError: The error that the other process answered with.
         """
@@ -240,7 +251,11 @@
         return answer
 
     def notify(self, notification: Any) -> None:
-        """Send a message that is not answered; it may be lost."""
+        """Send a message that is not answered; it may be lost.
+
+        Raises:
+            CodecError: If it cannot be encoded.
+        """
         try:
             self.send(b"", NOTIFICATION_KIND, notification)
         except RpcTimeoutError:
@@ -250,6 +265,7 @@
         """Queue a message for sending.
 
         Raises:
+            CodecError: If the message cannot be encoded.
             RpcTimeoutError: If the queue is full.
         """
         payload = encode(item)
--- a/tests/fleet/test_odd_entries.py
+++ b/tests/fleet/test_odd_entries.py
@@ -1,18 +1,21 @@
-"""One odd entry among the targets' announcements made nodes lose requests."""
+"""One odd entry, report or command made nodes lose requests or each other."""
 
 from __future__ import annotations
 
 import asyncio
+import json
 import time
 
 import msgspec
 
-from laburnumpitch.errors import TargetError
+from laburnumpitch.errors import CodecError, TargetError
+from laburnumpitch.fleet.messages import StoreConfiguration, StoreWeights
 from laburnumpitch.fleet_node import FleetNode
 from laburnumpitch.transport.http_client import HttpClient
-from standins.platform_target import Journal, PlatformTarget
+from laburnumpitch.transport.http_server import Responder
+from standins.platform_target import MODEL, Journal, PlatformTarget
 
-from .fleet_case import Fleet, FleetCase, make_configuration, wait_until
+from .fleet_case import WAIT_S, Fleet, FleetCase, make_configuration, wait_until
 
 DAY_MS = 24 * 3600 * 1000
 REQUESTS = 30
@@ -63,15 +66,35 @@
     return [name for name, task in tasks.items() if task.done()]
 
 
-class OddEntryTest(FleetCase):
-    """Odd entries are put at the nodes among those of sound targets."""
+class OddReporter(PlatformTarget):
+    """An engine whose report states a weight version of 70 bits."""
+
+    report_count = 0
+    """Number of reports that were read."""
+
+    async def send_report(self, responder: Responder) -> None:
+        """Send the odd report."""
+        self.report_count += 1
+        models = [{"name": MODEL, "version": 2**70}]
+        report = {"models": models, "busy": False, "sequence": 0}
+        await responder.send(200, [], json.dumps(report).encode())
 
-    async def start_target(self, fleet: Fleet, number: int) -> PlatformTarget:
-        """Start a sound target and wait until each node knows it."""
-        target = PlatformTarget(
+
+class OddCase(FleetCase):
+    """A fleet with sound targets, which something odd is sent to."""
+
+    async def start_target(
+        self,
+        fleet: Fleet,
+        number: int,
+        make_target: type[PlatformTarget] = PlatformTarget,
+        has_weights: bool = False,
+    ) -> PlatformTarget:
+        """Start a target and wait until each node knows it."""
+        target = make_target(
             f"t{number}",
             "shop",
-            False,
+            has_weights,
             lambda: [n.settings.control_address for n in fleet.nodes.values()],
             Journal(),
             frozenset(),
@@ -146,6 +169,10 @@
 
         self.run_fleet(3, 3, run)
 
+
+class OddEntryTest(OddCase):
+    """Odd entries are put at the nodes among those of sound targets."""
+
     def test_requests_are_served(self) -> None:
         """Each odd entry is refused, and no request is sent to one."""
 
@@ -180,3 +207,43 @@
             self.assertEqual(200, await self.send(fleet, 0))
 
         self.run_with_targets(scenario)
+
+
+class OddReportTest(OddCase):
+    """An engine's report has a number that cannot be sent to other nodes."""
+
+    def test_nodes_keep_the_leader(self) -> None:
+        """The nodes go on to learn new targets while the leader reads the report."""
+
+        async def scenario(fleet: Fleet) -> None:
+            odd = await self.start_target(fleet, 2, OddReporter, True)
+            body = b'{"model":"%s","version":2}' % MODEL.encode()
+            call = fleet.call(fleet.hosts[0], "POST", "/-/version-put", body)
+            self.assertEqual(200, (await call)[0])
+            await wait_until(lambda: odd.report_count >= 2)
+            await self.start_target(fleet, 3)
+            views = [node.fleet_view for node in fleet.nodes.values()]
+            self.assertTrue(all(view.has_leader_contact for view in views))
+            self.assertEqual(200, await self.send(fleet, 0))
+
+        self.run_with_targets(scenario)
+
+
+class OddCommandTest(OddCase):
+    """A command for the replicated log that cannot be encoded."""
+
+    def test_replica_goes_on(self) -> None:
+        """The command fails; the replica still leads and commits the next one."""
+
+        async def scenario(fleet: Fleet) -> None:
+            replica = fleet.get_leader().replica_manager.replica
+            for command in (StoreConfiguration(2**64, b""), StoreWeights("m", 10**400)):
+                try:
+                    async with asyncio.timeout(WAIT_S):
+                        await replica.propose(command)
+                    self.fail("the command was committed")
+                except CodecError:
+                    self.assertFalse(replica.is_failed)
+            self.assertEqual(3, await replica.propose(StoreWeights("m", 3)))
+
+        self.run_with_targets(scenario)
--- a/tests/fleet/test_target_table.py
+++ b/tests/fleet/test_target_table.py
@@ -5,6 +5,7 @@
 import testtools
 from msgspec.structs import replace
 
+from laburnumpitch.errors import CodecError
 from laburnumpitch.fleet.messages import TargetRecord
 from laburnumpitch.fleet.target_table import TargetTable
 
@@ -64,6 +65,15 @@
 class TargetTableTest(testtools.TestCase):
     """Changes at the leader and at the other nodes."""
 
+    def test_record_that_cannot_be_sent(self) -> None:
+        """It is refused, and the former record stays."""
+        table = TargetTable(ANNOUNCE_INTERVAL_S)
+        table.apply_announcement(FIRST, 0.0)
+        sequence = table.sequence
+        self.assertRaises(CodecError, table.update, "t1", versions={"m": 2**70})
+        self.assertEqual([FIRST], table.get_changes(0))
+        self.assertEqual(sequence, table.sequence)
+
     def test_gone_target_stays_gone(self) -> None:
         """A late announcement does not bring a target back."""
         table = TargetTable(ANNOUNCE_INTERVAL_S)
