Refuse configurations with values that nodes cannot use

Seen by callers: a configuration with version -1, or with 900 levels of nesting in an unknown field, was acknowledged and never in force at any node. A store without a bandwidth failed each placement of a request with a session (ZeroDivisionError, by reading), and two weights of 1e308 each request of their route.

Cause: the decoder checked types, and a few rules. A node without a configuration calls with version -1, so version -1 is never sent to it. The decoder's limit of nesting depends on the stack of its caller: the leader could read what a node, or the same node after a restart, refuses. Whole numbers had no bounds, and some go into floats, messages and addresses.

Ruled out: NaN and infinite numbers. JSON has none, and a number too large for a float is refused by the parser.

Change: whole numbers fit in 63 bits, times in a year; bandwidths, weights and nesting are bounded; a store's address is an IPv4 address with a port from 1 to 65535. A bandwidth that is not given counts as infinite, and a store with an empty address is a plain service. The check for negative weights is part of the type now, with the same error. Limits on a client's headers are at least one byte.

--- a/src/laburnumpitch/platform/configuration.py
+++ b/src/laburnumpitch/platform/configuration.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import math
+from typing import Annotated
+
 import msgspec
 
 from ..errors import InvalidConfigurationError
@@ -16,6 +19,14 @@
     Share,
     StoreSpec,
 )
+from .wire_values import (
+    MAX_INTEGER,
+    Count,
+    DurationMs,
+    Integer,
+    is_address,
+    is_too_deep,
+)
 
 MS_PER_S = 1000.0
 BYTES_PER_S_PER_MBPS = 125_000.0
@@ -25,12 +36,24 @@
 DEFAULT_OBJECTIVE_MS = 1000.0
 """Default latency objective of an answer, or of a stream's first event."""
 
+MAX_RATE_MBPS = 1e9
+"""Highest bandwidth of a link, in megabits per second."""
+
+MAX_WEIGHT = 1e12
+"""Highest weight of a service in a route; the sum of weights has to be finite."""
+
+RateMbps = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_RATE_MBPS)]
+"""A bandwidth; 0 if it is not known."""
+
+Weight = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_WEIGHT)]
+PositiveCount = Annotated[int, msgspec.Meta(ge=1, le=MAX_INTEGER)]
+
 
 class WireShare(msgspec.Struct):
     """A service of a route that is split between services, with its weight."""
 
     service: str
-    weight: float
+    weight: Weight
 
 
 class WireRoute(msgspec.Struct):
@@ -40,17 +63,17 @@
     host: str
     path_prefix: str
     route_type: str
-    timeout_ms: float
-    target_latency_ms: float = DEFAULT_OBJECTIVE_MS
-    priority: int = 0
+    timeout_ms: DurationMs
+    target_latency_ms: DurationMs = DEFAULT_OBJECTIVE_MS
+    priority: Integer = 0
     service: str | None = None
     split: list[WireShare] | None = None
-    max_attempts: int = 1
+    max_attempts: Count = 1
     anonymous: bool = False
     sticky: bool = False
     """Whether requests name the pieces of their prompt and use kept context."""
     resumable: bool = False
-    gap_target_ms: float = DEFAULT_GAP_OBJECTIVE_MS
+    gap_target_ms: DurationMs = DEFAULT_GAP_OBJECTIVE_MS
 
 
 class WireModel(msgspec.Struct):
@@ -62,12 +85,12 @@
 class WireEngine(msgspec.Struct):
     """Capacity and links of each engine of a service."""
 
-    slots: int = 1
-    kv_capacity: int = 0
+    slots: Count = 1
+    kv_capacity: Count = 0
     """Prompt tokens whose context it can hold."""
-    kv_bytes: int = 0
+    kv_bytes: Count = 0
     """Size of the context of one token."""
-    link_mbps: float = 0.0
+    link_mbps: RateMbps = 0.0
     models: list[WireModel] = []
 
 
@@ -75,14 +98,14 @@
     """A service; with `kv_store_addr` it is a store of kept context."""
 
     name: str
-    max_connections: int = 0
+    max_connections: Count = 0
     engine: WireEngine | None = None
     kv_store_addr: str | None = None
     zone: str = ""
-    kv_capacity: int = 0
+    kv_capacity: Count = 0
     """Prompt tokens whose context the store can hold."""
-    link_mbps: float = 0.0
-    first_ms: float = 0.0
+    link_mbps: RateMbps = 0.0
+    first_ms: DurationMs = 0.0
     """Time before the first byte of each transfer."""
     managed: bool = False
 
@@ -90,10 +113,10 @@
 class WireLimits(msgspec.Struct):
     """Limits on clients' requests and pauses."""
 
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4194304
-    header_timeout_ms: float = 3000
-    idle_timeout_ms: float = 15000
+    max_header_bytes: PositiveCount = 16384
+    max_body_bytes: Count = 4194304
+    header_timeout_ms: DurationMs = 3000
+    idle_timeout_ms: DurationMs = 15000
 
 
 class WireTenant(msgspec.Struct):
@@ -101,14 +124,14 @@
 
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Integer | None = None
     isolated: bool = False
 
 
 class WireConfiguration(msgspec.Struct):
     """The complete configuration."""
 
-    version: int
+    version: Count
     routes: list[WireRoute]
     services: list[WireService]
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
@@ -128,6 +151,8 @@
         wire = _decoder.decode(body)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise InvalidConfigurationError(f"malformed: {error}") from error
+    if is_too_deep(body):
+        raise InvalidConfigurationError("nested too deeply")
     check_configuration(wire)
     return RoutingConfiguration(
         wire.version,
@@ -159,6 +184,9 @@
     Raises:
         InvalidConfigurationError: If a rule is violated; names the first one.
     """
+    for service in wire.services:
+        if service.kv_store_addr and not is_address(service.kv_store_addr):
+            raise InvalidConfigurationError(f"{service.name}: invalid kv_store_addr")
     services = {service.name for service in wire.services}
     host_prefixes: set[tuple[str, str]] = set()
     for route in wire.routes:
@@ -189,8 +217,6 @@
         raise InvalidConfigurationError(f"{route.name}: unknown route_type")
     if not shares or any(share.service not in services for share in shares):
         raise InvalidConfigurationError(f"{route.name}: no service, or an unknown one")
-    if any(share.weight < 0 for share in shares):
-        raise InvalidConfigurationError(f"{route.name}: negative weight")
     if sum(share.weight for share in shares) <= 0:
         raise InvalidConfigurationError(f"{route.name}: sum of weights is not positive")
     if route.timeout_ms <= 0:
@@ -220,6 +246,11 @@
     )
 
 
+def get_link_bytes_per_s(link_mbps: float) -> float:
+    """Return the bandwidth of a link; infinite if it is not known."""
+    return link_mbps * BYTES_PER_S_PER_MBPS or math.inf
+
+
 def make_service(wire: WireService) -> Service:
     """Convert a service to the package's type."""
     engine = store = None
@@ -228,15 +259,15 @@
             wire.engine.slots,
             wire.engine.kv_capacity,
             wire.engine.kv_bytes,
-            wire.engine.link_mbps * BYTES_PER_S_PER_MBPS,
+            get_link_bytes_per_s(wire.engine.link_mbps),
             tuple(model.name for model in wire.engine.models),
         )
-    if wire.kv_store_addr is not None:
+    if wire.kv_store_addr:
         store = StoreSpec(
             wire.kv_store_addr,
             wire.zone,
             wire.kv_capacity,
-            wire.link_mbps * BYTES_PER_S_PER_MBPS,
+            get_link_bytes_per_s(wire.link_mbps),
             wire.first_ms / MS_PER_S,
             wire.managed,
         )
--- a/src/laburnumpitch/platform/wire_values.py
+++ b/src/laburnumpitch/platform/wire_values.py
@@ -32,6 +32,12 @@
 Count = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
 """A whole number that is not negative."""
 
+Integer = Annotated[int, Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+"""A whole number."""
+
+DurationMs = Annotated[float, Meta(ge=0.0, le=MAX_DURATION_MS)]
+"""A duration in milliseconds."""
+
 BoundedText = Annotated[
     str, Meta(pattern=rf"\A[ -~]{{1,{MAX_TEXT_CHARS}}}\Z", title="bounded text")
 ]
--- a/tests/fleet/test_odd_entries.py
+++ b/tests/fleet/test_odd_entries.py
@@ -18,6 +18,9 @@
 from .fleet_case import WAIT_S, Fleet, FleetCase, make_configuration, wait_until
 
 DAY_MS = 24 * 3600 * 1000
+DEEP = b"[" * 900 + b"]" * 900
+"""JSON that a decoder reads or refuses, depending on the stack of its caller."""
+
 REQUESTS = 30
 """Requests after the odd entries; enough that each node tries each target."""
 
@@ -43,7 +46,7 @@
     "sequence-of-400-digits": {"sequence": msgspec.Raw(b"9" * 400)},
     "slots-of-70-bits": {"slots": msgspec.Raw(b"%d" % 2**70)},
     "negative-version": {"models": [{"name": "m", "version": -1}]},
-    "deep": {"extra": msgspec.Raw(b"[" * 900 + b"]" * 900)},
+    "deep": {"extra": msgspec.Raw(DEEP)},
     "endless-cold-time": {"cold_remaining_ms": 1e305},
 }
 """Odd values by the identifier of the entry, as it is written in the path."""
@@ -247,3 +250,26 @@
             self.assertEqual(3, await replica.propose(StoreWeights("m", 3)))
 
         self.run_with_targets(scenario)
+
+
+class OddConfigurationTest(OddCase):
+    """Operators put configurations with odd numbers."""
+
+    def test_next_one_is_in_force(self) -> None:
+        """Each is refused, and the next sound one is in force at all nodes."""
+
+        async def scenario(fleet: Fleet) -> None:
+            bodies = [
+                make_configuration(2).replace(b'"version":2', b'"version":' + version)
+                for version in (b"-1", b"%d" % 2**63, b"%d" % 2**64, b"9" * 400)
+            ]
+            bodies.append(make_configuration(2, extra=msgspec.Raw(DEEP)))
+            for number, body in enumerate(bodies):
+                host = fleet.hosts[number % len(fleet.hosts)]
+                answer = await fleet.call(host, "PUT", "/-/configuration", body)
+                self.assertEqual(400, answer[0])
+            await fleet.put_configuration(fleet.hosts[0], make_configuration(2))
+            await wait_until(lambda: fleet.list_versions() == {2})
+            self.assertEqual(200, await self.send(fleet, 0))
+
+        self.run_with_targets(scenario)
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -8,7 +8,21 @@
 import testtools
 
 from laburnumpitch.errors import InvalidConfigurationError
-from laburnumpitch.platform.configuration import decode_configuration
+from laburnumpitch.fleet.messages import StoreConfiguration
+from laburnumpitch.platform.configuration import (
+    MAX_RATE_MBPS,
+    MAX_WEIGHT,
+    decode_configuration,
+)
+from laburnumpitch.platform.wire_values import (
+    MAX_DURATION_MS,
+    MAX_INTEGER,
+    MAX_NESTING,
+)
+from laburnumpitch.transport.codec import encode
+
+DEEP_STACK_FRAMES = 500
+"""Calls below which a configuration is decoded; Python allows 1000."""
 
 VALID = {
     "version": 3,
@@ -44,6 +58,44 @@
 }
 
 
+STORE = {
+    "name": "store",
+    "kv_store_addr": "172.20.0.2:8080",
+    "zone": "z",
+    "kv_capacity": 1000,
+    "managed": True,
+}
+
+
+def make_with_store(**changes: object) -> bytes:
+    """Return the valid configuration as JSON, with a store whose fields are changed."""
+    services = [*VALID["services"], {**STORE, **changes}]
+    return msgspec.json.encode({**VALID, "services": services})
+
+
+def make_with_engine(**changes: object) -> bytes:
+    """Return the valid configuration as JSON, with an engine of the given fields."""
+    services = [{"name": "m", "engine": changes}, {"name": "s"}]
+    return msgspec.json.encode({**VALID, "services": services})
+
+
+def make_nested(depth: int) -> bytes:
+    """Return the valid configuration as JSON, nested in an unknown field."""
+    nested = msgspec.Raw(b"[" * (depth - 1) + b"]" * (depth - 1))
+    return msgspec.json.encode({**VALID, "extra": nested})
+
+
+def decode_within(frames: int, body: bytes) -> object:
+    """Decode a configuration below a number of other calls; return its error."""
+    if frames:
+        return decode_within(frames - 1, body)
+    try:
+        decode_configuration(body)
+    except InvalidConfigurationError as error:
+        return type(error)
+    return None
+
+
 def make_changed(path: list, value: object) -> bytes:
     """Return the valid configuration as JSON, with the value at a path changed."""
     document = copy.deepcopy(VALID)
@@ -83,6 +135,52 @@
         self.assertEqual([True, False], is_retryable_by_route)
 
 
+class BoundsTest(testtools.TestCase):
+    """Values at their bounds, and values that are not known."""
+
+    scenarios = [
+        ("highest_version", {"body": make_changed(["version"], MAX_INTEGER)}),
+        ("first_version", {"body": make_changed(["version"], 0)}),
+        ("deepest_nesting", {"body": make_nested(MAX_NESTING)}),
+        (
+            "longest_timeout",
+            {"body": make_changed(["routes", 0, "timeout_ms"], MAX_DURATION_MS)},
+        ),
+        (
+            "highest_weights",
+            {
+                "body": make_changed(
+                    ["routes", 0, "split"],
+                    [{"service": s, "weight": MAX_WEIGHT} for s in ("m", "s")],
+                )
+            },
+        ),
+        ("store", {"body": make_with_store()}),
+        ("highest_bandwidth", {"body": make_with_store(link_mbps=MAX_RATE_MBPS)}),
+        ("store_without_an_address", {"body": make_with_store(kv_store_addr="")}),
+        ("largest_capacity", {"body": make_with_engine(kv_capacity=MAX_INTEGER)}),
+    ]
+
+    def test_accepted(self) -> None:
+        """Each is valid, and its version can be sent to the replicas."""
+        configuration = decode_configuration(self.body)
+        encode(StoreConfiguration(configuration.version, b""))
+
+    def test_same_on_each_node(self) -> None:
+        """Whether it is valid does not depend on the stack of the caller."""
+        self.assertIsNone(decode_within(DEEP_STACK_FRAMES, self.body))
+
+
+class StoreTest(testtools.TestCase):
+    """Stores in the configuration."""
+
+    def test_unknown_bandwidth(self) -> None:
+        """A store whose bandwidth is not given still has a time for each transfer."""
+        configuration = decode_configuration(make_with_store())
+        store = configuration.services_by_name["store"].store
+        self.assertEqual(0.0, 1000 / store.link_bytes_per_s)
+
+
 class InvalidTest(testtools.TestCase):
     """Configurations that are rejected."""
 
@@ -110,8 +208,71 @@
             {"body": make_changed(["routes", 0, "route_type"], "x")},
         ),
         ("version_is_text", {"body": make_changed(["version"], "3")}),
+        ("negative_version", {"body": make_changed(["version"], -1)}),
+        ("version_of_64_bits", {"body": make_changed(["version"], 2**63)}),
+        (
+            "version_of_400_digits",
+            {"body": make_changed(["version"], msgspec.Raw(b"9" * 400))},
+        ),
+        (
+            "timeout_above_a_float",
+            {"body": make_changed(["routes", 0, "timeout_ms"], msgspec.Raw(b"1e400"))},
+        ),
+        ("endless_timeout", {"body": make_changed(["routes", 0, "timeout_ms"], 1e305)}),
+        (
+            "timeout_is_no_number",
+            {"body": make_changed(["routes", 0, "timeout_ms"], msgspec.Raw(b"NaN"))},
+        ),
+        (
+            "negative_objective",
+            {"body": make_changed(["routes", 0, "target_latency_ms"], -1)},
+        ),
+        (
+            "sum_of_weights_is_infinite",
+            {
+                "body": make_changed(
+                    ["routes", 0, "split"],
+                    [{"service": s, "weight": 1e308} for s in ("m", "s")],
+                )
+            },
+        ),
+        (
+            "negative_weight",
+            {
+                "body": make_changed(
+                    ["routes", 0, "split"], [{"service": "m", "weight": -1}]
+                )
+            },
+        ),
+        ("slots_of_70_bits", {"body": make_with_engine(slots=msgspec.Raw(b"9" * 22))}),
+        (
+            "capacity_of_400_digits",
+            {"body": make_with_engine(kv_capacity=msgspec.Raw(b"9" * 400))},
+        ),
+        ("negative_capacity", {"body": make_with_engine(kv_capacity=-1)}),
+        ("negative_bandwidth", {"body": make_with_store(link_mbps=-1)}),
+        ("endless_bandwidth", {"body": make_with_store(link_mbps=1e305)}),
+        ("store_without_a_port", {"body": make_with_store(kv_store_addr="1.2.3.4")}),
+        (
+            "store_port_above_range",
+            {"body": make_with_store(kv_store_addr="1.2.3.4:99999")},
+        ),
+        ("store_host_is_no_address", {"body": make_with_store(kv_store_addr="a..b:1")}),
+        (
+            "negative_header_limit",
+            {"body": make_changed(["limits", "max_header_bytes"], -1)},
+        ),
+        ("nested_too_deeply", {"body": make_nested(MAX_NESTING + 1)}),
+        ("nested_hundreds_deep", {"body": make_nested(500)}),
+        ("nested_beyond_the_stack", {"body": make_nested(100_000)}),
     ]
 
     def test_rejected(self) -> None:
         """Each raises InvalidConfigurationError."""
         self.assertRaises(InvalidConfigurationError, decode_configuration, self.body)
+
+    def test_same_on_each_node(self) -> None:
+        """Whether it is valid does not depend on the stack of the caller."""
+        self.assertIs(
+            InvalidConfigurationError, decode_within(DEEP_STACK_FRAMES, self.body)
+        )
