Refuse weight versions that the replicated log cannot hold

Seen by callers: an operator who named a version of 70 bits got no clear answer, and a body nested beyond the decoder's stack closed the connection (RecursionError). A negative version was acknowledged without any effect.

Cause: `decode_version_put` checked types only, and did not expect RecursionError.

Ruled out: a poisoned log. A version of more than 64 bits failed as the call to the leader was encoded. One of 64 bits is replicated and applied.

Change: a version is a whole number from 0 to 2^63 - 1, a model's name is 1 to 128 characters of printable ASCII, and nesting is bounded.

--- a/src/laburnumpitch/platform/control_api.py
+++ b/src/laburnumpitch/platform/control_api.py
@@ -19,6 +19,7 @@
 from ..logging import get_logger
 from ..transport.http_server import HttpRequest, Responder
 from .announcements import check_target_id, decode_announcement
+from .wire_values import BoundedText, Count, is_too_deep
 
 INSTANCES_PATH = "/-/instances/"
 """Prefix of the path at which a target announces itself or departs."""
@@ -44,8 +45,8 @@
 class WireVersionPut(msgspec.Struct):
     """Names a model's new weight version."""
 
-    model: str
-    version: int
+    model: BoundedText
+    version: Count
 
 
 class ControlApi:
@@ -140,12 +141,14 @@
     """Decode a call that names a weight version.
 
     Raises:
-        MalformedRequestError: If it is malformed.
+        MalformedRequestError: If it is malformed, or a value is out of its bounds.
     """
     try:
         wire = msgspec.json.decode(body, type=WireVersionPut)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise MalformedRequestError(str(error)) from error
+    if is_too_deep(body):
+        raise MalformedRequestError("nested too deeply")
     return PutWeights(wire.model, wire.version)
 
 
--- a/tests/fleet/test_odd_entries.py
+++ b/tests/fleet/test_odd_entries.py
@@ -273,3 +273,29 @@
             self.assertEqual(200, await self.send(fleet, 0))
 
         self.run_with_targets(scenario)
+
+
+class OddVersionTest(OddCase):
+    """An operator names weight versions that the replicated log cannot hold."""
+
+    def test_next_one_is_known(self) -> None:
+        """Each is refused, and the next sound one is known to all nodes."""
+
+        async def scenario(fleet: Fleet) -> None:
+            path = "/-/version-put"
+            versions = ("-1", str(2**63), str(2**70), "9" * 400)
+            statuses = set()
+            for number, version in enumerate(versions):
+                host = fleet.hosts[number % len(fleet.hosts)]
+                body = b'{"model":"m","version":%s}' % version.encode()
+                statuses.add((await fleet.call(host, "POST", path, body))[0])
+            self.assertEqual({400}, statuses)
+            body = b'{"model":"m","version":2}'
+            answer = await fleet.call(fleet.hosts[0], "POST", path, body)
+            self.assertEqual(200, answer[0])
+            views = [node.fleet_view for node in fleet.nodes.values()]
+            await wait_until(
+                lambda: all(view.weight_versions == {"m": 2} for view in views)
+            )
+
+        self.run_with_targets(scenario)
