Bound the numbers in reports, events and listings of targets

Seen by callers: a store whose events stated a clock of 400 digits lost its owner: the owner's task ended in silence, and no request read or saved kept context there until the assignment moved. Negative tokens made the store look emptier than it was (by reading).

Cause: `decode_answer` checked types only, and JSON's whole numbers have no bounds here. The clock is subtracted from a float, which raises OverflowError in `StoreOwner.run`. It expects errors of targets only.

Ruled out: fractions and texts in place of numbers, which were refused.

Change: tokens are from 0 to 10^9, other whole numbers have 63 bits; an answer out of these bounds is a malformed answer, which the callers handle. MAX_TOKENS moves to the other bounds.

--- a/src/laburnumpitch/platform/http_headers.py
+++ b/src/laburnumpitch/platform/http_headers.py
@@ -17,6 +17,7 @@
 from ..transport.header_bytes import embed_text
 from ..transport.http_client import HOP_BY_HOP_HEADERS
 from ..transport.http_server import Headers, HttpRequest
+from .wire_values import MAX_TOKENS
 
 MS_PER_S = 1000.0
 
@@ -96,10 +97,6 @@
 MAX_REQUEST_PRIORITY = 9
 """Largest priority value that is sent to a target; 0 is served first."""
 
-MAX_TOKENS = 10**9
-"""Largest number of tokens that counts; more than any engine's memory. Sums of it fit
-into the integers of messages between nodes."""
-
 MAX_VERSION_DIGITS = 18
 """Largest number of digits of a weight version; any fits into 64 bits."""
 
--- a/src/laburnumpitch/platform/target_client.py
+++ b/src/laburnumpitch/platform/target_client.py
@@ -24,6 +24,7 @@
 from ..transport.http_client import HttpClientPool
 from ..transport.http_server import Headers
 from .http_headers import EXPECT_INSTANCE
+from .wire_values import Count, Integer, TokenCount
 
 REPORT_PATH = "/-/report"
 ORDER_PATH = "/-/order"
@@ -78,13 +79,13 @@
     """A model and its weight version that an engine has loaded."""
 
     name: str
-    version: int
+    version: Count
 
 
 class WireReport(msgspec.Struct):
     """An engine's state, which may be a few hundred milliseconds old."""
 
-    sequence: int
+    sequence: Count
     """Number of orders that the engine has accepted."""
     busy: bool = False
     """Whether an order is in progress; independent of running requests."""
@@ -110,27 +111,27 @@
 class WireEvents(msgspec.Struct):
     """Events of a store: pieces that were added or removed."""
 
-    epoch: int
+    epoch: Integer
     """Changes at each restart of the store."""
-    next_token: int
+    next_token: Count
     """Sequence number of the next event, not a token of a prompt."""
     has_gap: bool
     """Whether events were lost."""
-    events: list[tuple[int, str, str, str, int, str]]
+    events: list[tuple[Integer, str, str, str, TokenCount, str]]
     """Sequence number, + or -, salt, piece, number of tokens stored now, model."""
-    clock_ms: int | None = None
+    clock_ms: Count | None = None
     """The store's clock."""
 
 
 class WireListing(msgspec.Struct):
     """All pieces in a store."""
 
-    epoch: int
-    next_token: int
+    epoch: Integer
+    next_token: Count
     """Sequence number of the next event, not a token of a prompt."""
-    held_entries: list[tuple[str, str, int, str]]
+    held_entries: list[tuple[str, str, TokenCount, str]]
     """Complete pieces: salt, piece, number of tokens, model."""
-    partial: list[tuple[str, str, int, int]] = []
+    partial: list[tuple[str, str, TokenCount, TokenCount]] = []
     """Incomplete pieces: salt, piece, tokens complete, tokens reserved."""
 
 
--- a/src/laburnumpitch/platform/wire_values.py
+++ b/src/laburnumpitch/platform/wire_values.py
@@ -18,6 +18,10 @@
 MAX_DURATION_MS = 366 * 24 * 3600 * 1000.0
 """Longest duration, a year, in milliseconds."""
 
+MAX_TOKENS = 1_000_000_000
+"""Largest number of tokens of a prompt, a piece or an answer. Sums over the requests
+of a node are sent to other nodes, in messages whose numbers have 64 bits."""
+
 MAX_TEXT_CHARS = 128
 """Longest name, version or identifier, in characters."""
 
@@ -32,6 +36,9 @@
 Count = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
 """A whole number that is not negative."""
 
+TokenCount = Annotated[int, Meta(ge=0, le=MAX_TOKENS)]
+"""A number of tokens."""
+
 Integer = Annotated[int, Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 """A whole number."""
 
