Refuse settings that a node cannot start with

Seen by operators: a settings file without internal ports, nested very deeply, or with a number of 400 digits ended the process with a traceback rather than the settings' error. As the file changes while the node runs, the same errors end the task that follows the seeds, in silence (by reading). A seed that is no address was kept, and connecting to it fails in that task too.

Cause: only OSError, ValueError and the decoder's error were expected, and TOML, unlike JSON, has NaN, infinity and whole numbers without bounds.

Ruled out: a number of 5000 digits, which the parser refuses with ValueError.

Change: ports, times, retries and losses have bounds; the node's own addresses are IPv4 addresses with a port. A seed that is no address is left out with a log line, since a node can start with the others. A time in milliseconds may be a fraction.

Evidence: on the code before, tests.platform.test_settings_file failed 23 of 30 (IndexError, OverflowError, RecursionError, or accepted). All pass now.

--- a/src/laburnumpitch/platform/settings_file.py
+++ b/src/laburnumpitch/platform/settings_file.py
@@ -5,13 +5,32 @@
 import tomllib
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 
 from ..errors import SettingsError
+from ..logging import get_logger
+from .wire_values import (
+    MAX_DURATION_MS,
+    MAX_PORT,
+    Count,
+    DurationMs,
+    is_address,
+    is_host,
+)
 
 MS_PER_S = 1000.0
 
+MAX_RETRIES = 1e9
+"""Largest number of retries, for each request or in a window."""
+
+RpcPort = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT - 1)]
+"""A port; the one after it has to be a port, too."""
+
+DurationS = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_DURATION_MS / MS_PER_S)]
+Retries = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_RETRIES)]
+
 
 class WireListen(msgspec.Struct):
     """Addresses to listen on: for clients, readiness checks, targets and operators."""
@@ -24,19 +43,19 @@
 class WireBounds(msgspec.Struct):
     """Limits set by the platform's rules."""
 
-    grace_s: float = 8
-    retry_budget_ratio: float = 0.2
-    retry_window_s: float = 10
-    retry_slack: float = 50
-    lease_ms: int = 3000
-    version_ms: int = 12000
-    catch_up_s: float = 4
+    grace_s: DurationS = 8
+    retry_budget_ratio: Retries = 0.2
+    retry_window_s: DurationS = 10
+    retry_slack: Retries = 50
+    lease_ms: DurationMs = 3000
+    version_ms: DurationMs = 12000
+    catch_up_s: DurationS = 4
 
 
 class WireFaultTolerance(msgspec.Struct):
     """What may be lost at the same time."""
 
-    machines: int = 1
+    machines: Count = 1
 
 
 class WireSettings(msgspec.Struct):
@@ -46,11 +65,11 @@
     ip: str
     zone: str
     listen: WireListen
-    internal_ports: list[int]
+    internal_ports: Annotated[list[RpcPort], msgspec.Meta(min_length=1)]
     seeds: list[str] = []
     is_bootstrap: bool = False
     data_dir: str = ""
-    heartbeat_ms: int = 1200
+    heartbeat_ms: Annotated[float, msgspec.Meta(ge=1.0, le=MAX_DURATION_MS)] = 1200
     bounds: WireBounds = msgspec.field(default_factory=WireBounds)
     fault_tolerance: WireFaultTolerance = msgspec.field(
         default_factory=WireFaultTolerance
@@ -101,17 +120,45 @@
     return address.rpartition(":")[0]
 
 
+def check_addresses(path: str, wire: WireSettings) -> None:
+    """Check that this node's addresses can be listened on.
+
+    Raises:
+        SettingsError: If one cannot; names the first one.
+    """
+    listen = wire.listen
+    addresses = [listen.frontend, listen.readiness]
+    if listen.control:
+        addresses.append(listen.control)
+    for address in addresses:
+        if not is_address(address):
+            raise SettingsError(f"{path}: invalid address {address[:60]!r}")
+    if not is_host(wire.ip):
+        raise SettingsError(f"{path}: invalid ip {wire.ip[:60]!r}")
+
+
+def list_seed_hosts(seeds: list[str]) -> tuple[str, ...]:
+    """Return the hosts of the seeds; one that is no address is left out."""
+    invalid = [seed for seed in seeds if not is_address(seed)]
+    if invalid:
+        log = get_logger()
+        log.warning("seeds_invalid", seeds=[seed[:60] for seed in invalid])
+    return tuple(dict.fromkeys(get_host(s) for s in seeds if s not in invalid))
+
+
 def read_settings(path: str) -> FleetSettings:
     """Read the settings file.
 
     Raises:
-        SettingsError: If it is missing, unreadable or malformed.
+        SettingsError: If it is missing, unreadable or malformed, or a value is out of
+            its bounds.
     """
     try:
         data = tomllib.loads(Path(path).read_text())
         wire = msgspec.convert(data, WireSettings)
-    except (OSError, ValueError, msgspec.MsgspecError) as error:
+    except (OSError, ValueError, RecursionError, msgspec.MsgspecError) as error:
         raise SettingsError(f"{path}: {error}") from error
+    check_addresses(path, wire)
     bounds = wire.bounds
     return FleetSettings(
         node_id=wire.node_name,
@@ -122,7 +169,7 @@
         control_address=wire.listen.control,
         rpc_port=wire.internal_ports[0],
         metrics_port=wire.internal_ports[0] + 1,
-        seed_hosts=tuple(dict.fromkeys(get_host(seed) for seed in wire.seeds)),
+        seed_hosts=list_seed_hosts(wire.seeds),
         is_first_start=wire.is_bootstrap,
         data_folder=wire.data_dir,
         announce_interval_s=wire.heartbeat_ms / MS_PER_S,
--- a/src/laburnumpitch/platform/wire_values.py
+++ b/src/laburnumpitch/platform/wire_values.py
@@ -62,12 +62,19 @@
     return IDENTIFIER_PATTERN.fullmatch(text) is not None
 
 
+def is_host(text: str) -> bool:
+    """Whether a text is an IPv4 address."""
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return True
+
+
 def is_address(text: str) -> bool:
     """Whether a text is `host:port` with an IPv4 address that can be connected to."""
     host, _, port = text.rpartition(":")
-    try:
-        ipaddress.IPv4Address(host)
-    except ValueError:
+    if not is_host(host):
         return False
     return PORT_PATTERN.fullmatch(port) is not None and 1 <= int(port) <= MAX_PORT
 
--- /dev/null
+++ b/tests/platform/test_settings_file.py
@@ -0,0 +1,113 @@
+"""The settings file with sound and odd values."""
+
+from __future__ import annotations
+
+import tempfile
+from pathlib import Path
+
+import testtools
+
+from laburnumpitch.errors import SettingsError
+from laburnumpitch.platform.settings_file import FleetSettings, read_settings
+
+SOUND = """
+node_name = "n1"
+ip = "10.1.0.40"
+zone = "z"
+internal_ports = [7700, 7715]
+seeds = ["10.1.0.40:8000", "10.2.0.37:8000"]
+heartbeat_ms = 1200
+unknown = [{a = 1}]
+[listen]
+frontend = "10.1.0.40:8005"
+readiness = "10.1.0.40:8002"
+control = "10.1.0.40:8000"
+[bounds]
+grace_s = 8
+retry_budget_ratio = 0.2
+retry_slack = 58
+lease_ms = 3000
+[fault_tolerance]
+machines = 1
+"""
+
+
+def read_text(text: str) -> FleetSettings:
+    """Read settings from a text."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "boot.toml"
+        path.write_text(text)
+        return read_settings(str(path))
+
+
+def make_changed(former: str, new: str) -> dict[str, str]:
+    """Return a scenario with a changed part of the sound file."""
+    assert former in SOUND
+    return {"text": SOUND.replace(former, new)}
+
+
+class SoundTest(testtools.TestCase):
+    """Values at their bounds, and values that are left out."""
+
+    scenarios = [
+        ("plain", {"text": SOUND}),
+        ("no_control", make_changed('control = "10.1.0.40:8000"', 'control = ""')),
+        ("no_seeds", make_changed('["10.1.0.40:8000", "10.2.0.37:8000"]', "[]")),
+        ("highest_port", make_changed("[7700, 7715]", "[65534]")),
+        ("all_interfaces", make_changed("10.1.0.40:8005", "0.0.0.0:8005")),
+        ("no_loss", make_changed("machines = 1", "machines = 0")),
+        ("fraction", make_changed("lease_ms = 3000", "lease_ms = 2500.5")),
+    ]
+
+    def test_accepted(self) -> None:
+        """Each is read."""
+        self.assertEqual("n1", read_text(self.text).node_id)
+
+
+class SeedTest(testtools.TestCase):
+    """Seeds among which one is odd."""
+
+    scenarios = [
+        ("name", {"seed": "a..b:8000"}),
+        ("no_host", {"seed": ":8000"}),
+        ("no_port", {"seed": "10.2.0.37"}),
+        ("port_above_range", {"seed": "10.2.0.37:99999"}),
+        ("null", {"seed": "10.2.0.37\\u0000:8000"}),
+    ]
+
+    def test_others_are_used(self) -> None:
+        """The odd one is left out, so that the node can start."""
+        settings = read_text(SOUND.replace("10.2.0.37:8000", self.seed))
+        self.assertEqual(("10.1.0.40",), settings.seed_hosts)
+
+
+class OddTest(testtools.TestCase):
+    """Values that a node cannot use."""
+
+    scenarios = [
+        ("no_port", make_changed("[7700, 7715]", "[]")),
+        ("port_zero", make_changed("[7700, 7715]", "[0]")),
+        ("port_without_a_next_one", make_changed("[7700, 7715]", "[65535]")),
+        ("port_of_400_digits", make_changed("[7700, 7715]", f"[{'9' * 400}]")),
+        ("number_of_5000_digits", make_changed("1200", "9" * 5000)),
+        ("no_interval", make_changed("heartbeat_ms = 1200", "heartbeat_ms = 0")),
+        ("grace_is_no_number", make_changed("grace_s = 8", "grace_s = nan")),
+        ("grace_is_infinite", make_changed("grace_s = 8", "grace_s = inf")),
+        ("negative_grace", make_changed("grace_s = 8", "grace_s = -8")),
+        ("ratio_is_no_number", make_changed("ratio = 0.2", "ratio = nan")),
+        ("slack_is_infinite", make_changed("retry_slack = 58", "retry_slack = inf")),
+        (
+            "lease_of_400_digits",
+            make_changed("lease_ms = 3000", f"lease_ms = {10**400}"),
+        ),
+        ("negative_losses", make_changed("machines = 1", "machines = -1")),
+        ("listen_port_above_range", make_changed("10.1.0.40:8005", "10.1.0.40:99999")),
+        ("listen_without_a_port", make_changed("10.1.0.40:8005", "10.1.0.40")),
+        ("ip_out_of_range", make_changed('ip = "10.1.0.40"', 'ip = "10.1.0.400"')),
+        ("deep_nesting", make_changed("[{a = 1}]", "[" * 5000 + "]" * 5000)),
+        ("deep_tables", make_changed("[{a = 1}]", "{a = " * 5000 + "1" + "}" * 5000)),
+    ]
+
+    def test_refused(self) -> None:
+        """Each is refused with the settings' error."""
+        self.assertRaises(SettingsError, read_text, self.text)
