Keep long-lived tasks running after unexpected errors

Seen by callers: one unexpected error in a long-lived task ended the task for ever, mostly without a log line, since the task's object is kept and nobody awaits it. Thereafter a node learned no changes, a leader gave no orders or dropped no silent targets, a store had no owner, or a node answered no other node. In a queue, the requests behind the first one waited for their time.

Cause: the loops expected errors of this package only.

Ruled out: the replica's task, which handles each error itself (the replica manager opens the replica again), and restarting the process, which loses the requests in flight.

Change: `_tasks.py` has one way for all. `start_loop` runs a loop again after a pause, `contain_errors` lets a task go on after one of its parts, and `start_task` reports the error of a task that runs once. Each counts the error (metric `task.failed`) and logs it with its traceback, once in 10 s for each task, with the number of those omitted. A store owner lists its store again when it starts again. The dispatcher fails only the request that cannot be dispatched. `commander_failed` is `task_failed` now.

--- a/src/laburnumpitch/context/target_workers.py
+++ b/src/laburnumpitch/context/target_workers.py
@@ -5,7 +5,7 @@
 import asyncio
 from dataclasses import dataclass
 
-from .._tasks import cancel_and_wait
+from .._tasks import cancel_and_wait, start_loop
 from ..logging import get_logger
 from ..membership.messages import TargetInfo
 from ..membership.session import Session
@@ -79,7 +79,7 @@
         """Start to reconcile the workers with the view."""
         self.session.view.listeners.append(self.view_changed.set)
         self.view_changed.set()
-        self.task = asyncio.create_task(self.run())
+        self.task = start_loop("target_workers", self.run)
 
     async def close(self) -> None:
         """Stop all workers."""
@@ -150,7 +150,7 @@
                 target, HttpStore(client), self.directory, self.epoch_generator
             )
             self.store_router.store_owners[target.target_id] = store_owner
-            tasks = [asyncio.create_task(store_owner.run())]
+            tasks = [start_loop("store_owner", store_owner.run)]
             self.workers[target.target_id] = TargetWorker(target, tasks, store_owner)
             return
         engine = HttpEngine(client)
@@ -160,8 +160,8 @@
             target, engine, self.directory, self.epoch_generator, on_pieces_added
         )
         tasks = [
-            asyncio.create_task(collector.run()),
-            asyncio.create_task(exporter.run()),
+            start_loop("cache_event_collector", collector.run),
+            start_loop("piece_exporter", exporter.run),
         ]
         self.workers[target.target_id] = TargetWorker(target, tasks, collector)
 
--- a/src/laburnumpitch/control/leader.py
+++ b/src/laburnumpitch/control/leader.py
@@ -14,7 +14,7 @@
 
 from msgspec.structs import replace
 
-from .._tasks import cancel_and_wait
+from .._tasks import cancel_and_wait, start_loop
 from ..errors import ForbiddenError
 from ..logging import get_logger
 from ..membership.messages import (
@@ -158,7 +158,7 @@
 
     async def start(self) -> None:
         """Start the housekeeping task."""
-        self.housekeeping_task = asyncio.create_task(self.run_housekeeping())
+        self.housekeeping_task = start_loop("housekeeping", self.run_housekeeping)
 
     async def close(self) -> None:
         """Stop the housekeeping task."""
--- a/src/laburnumpitch/control/rollout_controller.py
+++ b/src/laburnumpitch/control/rollout_controller.py
@@ -15,7 +15,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from .._tasks import cancel_and_wait
+from .._tasks import TASK_FAILURES, cancel_and_wait, start_loop
 from ..errors import LaburnumpitchError, NotLeaderError
 from ..logging import get_logger
 from ..membership.messages import TargetInfo, TargetLoad
@@ -85,7 +85,7 @@
 
     async def start(self) -> None:
         """Start the task that checks for due loads."""
-        self.task = asyncio.create_task(self.run())
+        self.task = start_loop("rollout_controller", self.run)
 
     async def close(self) -> None:
         """Stop the task and close the connections to engines."""
@@ -102,8 +102,8 @@
                 await self.roll_out_pools()
             except LaburnumpitchError as error:
                 self.log.info("command_failed", code=error.code, detail=error.detail)
-            except Exception:
-                self.log.exception("commander_failed")
+            except Exception as error:
+                TASK_FAILURES.record("rollout_controller", error)
 
     def may_send_orders(self) -> bool:
         """Whether this replica leads and no earlier leader's order can take effect.
--- a/src/laburnumpitch/fleet/fleet_publisher.py
+++ b/src/laburnumpitch/fleet/fleet_publisher.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from .._tasks import contain_errors
 from ..control.replica import Replica
 from ..errors import LaburnumpitchError
 from ..logging import get_logger
@@ -167,7 +168,8 @@
         if call.node.host not in self.subscriptions.by_host:
             self.log.info("node_follows", host=call.node.host, term=self.term)
         self.loads.replace_report(call.node.host, call.loads)
-        self.update_quarantine()
+        with contain_errors("fleet_publisher"):
+            self.update_quarantine()
         self.subscriptions.record(subscriber)
         deadline_s = self.get_time_s() + hold_s
         while not self.has_update(call):
@@ -232,12 +234,20 @@
                 self.check_term()
             except LaburnumpitchError:
                 continue
-            self.update_assignments()
-            self.drop_stale_loads()
-            self.update_quarantine()
-            self.update_facts()
-            if self.is_settled and self.targets.check_announcements(self.get_time_s()):
-                self.publish()
+            for update in (
+                self.update_assignments,
+                self.drop_stale_loads,
+                self.update_quarantine,
+                self.update_facts,
+                self.check_targets,
+            ):
+                with contain_errors("fleet_publisher"):
+                    update()
+
+    def check_targets(self) -> None:
+        """Publish which targets no longer announce themselves."""
+        if self.is_settled and self.targets.check_announcements(self.get_time_s()):
+            self.publish()
 
     def drop_stale_loads(self) -> None:
         """Remove the load reports of unreachable nodes."""
--- a/src/laburnumpitch/fleet/fleet_view.py
+++ b/src/laburnumpitch/fleet/fleet_view.py
@@ -7,7 +7,7 @@
 import zlib
 from collections.abc import Callable
 
-from .._tasks import cancel_and_wait
+from .._tasks import cancel_and_wait, contain_errors, start_loop
 from ..control.raft_messages import Member
 from ..errors import InvalidConfigurationError, LaburnumpitchError
 from ..logging import get_logger
@@ -113,7 +113,7 @@
 
     async def start(self) -> None:
         """Start the subscription."""
-        self.task = asyncio.create_task(self.run())
+        self.task = start_loop("fleet_view", self.run)
 
     async def close(self) -> None:
         """End the subscription."""
@@ -172,15 +172,24 @@
         self.targets.apply_changes(answer.targets, now_s)
         if answer.is_settled:
             self.mark_unreported_targets()
+        # The leader does not send a change again, so each part is applied by itself.
         if answer.facts is not None:
-            self.apply_facts(answer.facts)
+            with contain_errors("fleet_view"):
+                self.apply_facts(answer.facts)
         if answer.configuration:
-            self.apply_configuration(answer.configuration)
+            with contain_errors("fleet_view"):
+                self.apply_configuration(answer.configuration)
         if is_unchanged and not answer.configuration:
-            self.on_other_loads()
+            with contain_errors("fleet_view"):
+                self.on_other_loads()
             return
+        self.notify_listeners()
+
+    def notify_listeners(self) -> None:
+        """Call all listeners; one that fails does not keep the others from a change."""
         for callback in self.on_change:
-            callback()
+            with contain_errors("fleet_view"):
+                callback()
 
     def get_weight_version_age_s(self, model: str) -> float:
         """Return the time for which this node has known a model's desired version."""
@@ -205,8 +214,7 @@
             self.apply_facts(snapshot.facts)
         self.targets.apply_changes(snapshot.targets, self.get_time_s())
         self.apply_configuration(snapshot.configuration)
-        for callback in self.on_change:
-            callback()
+        self.notify_listeners()
 
     def apply_facts(self, facts: FleetFacts) -> None:
         """Apply the fleet's facts."""
--- a/src/laburnumpitch/fleet/replica_manager.py
+++ b/src/laburnumpitch/fleet/replica_manager.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from .._tasks import cancel_and_wait
+from .._tasks import cancel_and_wait, start_loop
 from ..control.log_store import LogStore, create_identity, make_unique_replica_id
 from ..control.raft import LEADER
 from ..control.raft_messages import Member
@@ -107,7 +107,7 @@
             except OSError as error:
                 # A disk may be full or refuse writes for a time; `run` tries again.
                 self.log.error("disk_failed", detail=str(error))
-        self.join_task = asyncio.create_task(self.run())
+        self.join_task = start_loop("replica_manager", self.run)
 
     async def close(self) -> None:
         """Stop the task and the replica."""
@@ -154,7 +154,7 @@
             self.get_facts,
             self.get_time_s,
         )
-        self.publisher_task = asyncio.create_task(self.publisher.run())
+        self.publisher_task = start_loop("fleet_publisher", self.publisher.run)
         self.replica = replica
 
     def wipe(self) -> None:
--- a/src/laburnumpitch/fleet/rollout_controller.py
+++ b/src/laburnumpitch/fleet/rollout_controller.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+from .._tasks import contain_errors, keep_running, start_task
 from ..errors import LaburnumpitchError, NotLeaderError, TargetError
 from ..logging import get_logger
 from ..policy.rollout import (
@@ -93,14 +94,18 @@
     async def run(self) -> None:
         """Start loads that are due while this node holds the lease, until cancelled."""
         try:
-            while True:
-                await asyncio.sleep(CHECK_INTERVAL_S)
-                publisher = self.replica_manager.publisher
-                if publisher is not None and self.may_give_orders(publisher):
-                    self.start_loads(publisher)
+            await keep_running("rollout_controller", self.run_checks)
         finally:
             self.cancel_loads()
 
+    async def run_checks(self) -> None:
+        """Start loads that are due, at intervals."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            publisher = self.replica_manager.publisher
+            if publisher is not None and self.may_give_orders(publisher):
+                self.start_loads(publisher)
+
     def cancel_loads(self) -> None:
         """Cancel the tasks of all loads; the engines may still carry them out."""
         for load in self.load_tasks.values():
@@ -131,7 +136,8 @@
         for records in pools.values():
             for model, version in weights.items():
                 matching = [record for record in records if model in record.versions]
-                self.start_pool_loads(publisher, matching, model, version)
+                with contain_errors("rollout_controller"):
+                    self.start_pool_loads(publisher, matching, model, version)
 
     def start_pool_loads(
         self,
@@ -157,10 +163,8 @@
         )
         for target_id in choose_loads(replace(pool, engines=engines)):
             del self.retiring_since_s[target_id]
-            task = asyncio.create_task(
-                self.load(publisher, by_id[target_id], model, version)
-            )
-            self.load_tasks[target_id] = task
+            load = self.load(publisher, by_id[target_id], model, version)
+            self.load_tasks[target_id] = start_task("weight_load", load)
 
     def make_pool(
         self, records: list[TargetRecord], model: str, version: int
--- a/src/laburnumpitch/fleet/store_owner.py
+++ b/src/laburnumpitch/fleet/store_owner.py
@@ -78,7 +78,11 @@
         self.log = get_logger()
 
     async def run(self) -> None:
-        """Keep the allocation table up to date and free parts, until cancelled."""
+        """Keep the allocation table up to date and free parts, until cancelled.
+
+        It may start again after an error, in the middle of a change of the table.
+        """
+        self.is_synchronized = False
         while True:
             try:
                 if not self.is_synchronized:
--- a/src/laburnumpitch/fleet/store_owners.py
+++ b/src/laburnumpitch/fleet/store_owners.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
-from .._tasks import cancel_and_wait
+from .._tasks import cancel_and_wait, start_loop
 from ..errors import NotStoreOwnerError
 from ..logging import get_logger
 from ..relay.configuration import RoutingConfiguration, StoreSpec
@@ -89,7 +89,7 @@
             lambda contact_s: self.is_current_owner(store.address, contact_s),
             self.get_time_s,
         )
-        task = asyncio.create_task(store_owner.run())
+        task = start_loop("store_owner", store_owner.run)
         self.running_owners[store.address] = (store_owner, task)
         self.log.info(
             "keeper_started", address=store.address, term=self.fleet_view.term
--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -9,7 +9,7 @@
 
 import zmq.asyncio
 
-from ._tasks import cancel_and_wait
+from ._tasks import cancel_and_wait, start_loop
 from .clock_sources import get_boottime_s
 from .control.raft_messages import Member
 from .errors import SettingsError
@@ -210,7 +210,7 @@
             )
             self.snapshot_file.load()
             await self.replica_manager.start()
-            self.snapshot_task = asyncio.create_task(self.snapshot_file.run())
+            self.snapshot_task = start_loop("snapshot_file", self.snapshot_file.run)
             self.rollout_controller = RolloutController(
                 self.replica_manager,
                 self.engine_client,
@@ -218,13 +218,15 @@
                 settings.outdated_weights_s,
                 get_boottime_s,
             )
-            self.rollout_task = asyncio.create_task(self.rollout_controller.run())
+            self.rollout_task = start_loop(
+                "rollout_controller", self.rollout_controller.run
+            )
             registry = BuildRegistry(
                 self.replica_manager, self.list_services, get_boottime_s
             )
-            self.registry_task = asyncio.create_task(registry.run())
+            self.registry_task = start_loop("build_registry", registry.run)
         await self.fleet_view.start()
-        self.bootstrap_task = asyncio.create_task(self.run_bootstrap())
+        self.bootstrap_task = start_loop("bootstrap", self.run_bootstrap)
         for server in self.http_servers:
             await server.start()
         self.log.info("node_started", node=settings.node_id)
--- a/src/laburnumpitch/membership/session.py
+++ b/src/laburnumpitch/membership/session.py
@@ -8,7 +8,7 @@
 
 from msgspec.structs import replace
 
-from .._tasks import cancel_and_wait
+from .._tasks import cancel_and_wait, start_loop
 from ..errors import ForbiddenError, LaburnumpitchError, NoLeaseError
 from ..logging import get_logger
 from ..metrics import Metrics
@@ -73,7 +73,7 @@
 
     async def start(self) -> None:
         """Start sending heartbeats."""
-        self.task = asyncio.create_task(self.run())
+        self.task = start_loop("session", self.run)
 
     async def close(self) -> None:
         """Stop sending heartbeats. The lease is not returned; it expires."""
--- a/src/laburnumpitch/metrics_server.py
+++ b/src/laburnumpitch/metrics_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ._tasks import TASK_FAILURES
 from .metrics import Metrics
 from .transport.http_server import HttpRequest, HttpServer, Responder
 
@@ -12,6 +13,7 @@
     """Return a server that answers every request with the metrics."""
 
     async def handle(request: HttpRequest, responder: Responder) -> None:
+        metrics.counters["task.failed"] = TASK_FAILURES.total
         await responder.send(200, RESPONSE_HEADERS, metrics.render())
 
     return HttpServer(host, port, handle)
--- a/src/laburnumpitch/relay/dispatcher.py
+++ b/src/laburnumpitch/relay/dispatcher.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from .._tasks import TASK_FAILURES
 from ..errors import NoTargetError, OverloadedError
 from ..fleet.load_totals import NO_LOAD
 from ..fleet.messages import FleetLoad, PlaceAnswer, PlaceCall, TargetRecord
@@ -144,6 +145,7 @@
         """Return a target once the request is dispatched from the queue.
 
         Raises:
+            InternalError: If dispatching it failed for an unexpected reason.
             OverloadedError: If no target had capacity in time.
         """
         now_s = self.get_time_s()
@@ -160,7 +162,7 @@
             # Not wait_for, which drops a cancellation that comes with the result.
             await asyncio.wait({future}, timeout=max(0.0, wait_s))
         except asyncio.CancelledError:
-            if future.done():
+            if future.done() and future.exception() is None:
                 self.release_unused(future.result(), admitted)
             raise
         finally:
@@ -183,7 +185,13 @@
         """Dispatch the requests of a queue until none is left."""
         try:
             while queued := self.queue.find_first(key):
-                await self.dispatch_first(queued)
+                try:
+                    await self.dispatch_first(queued)
+                except Exception as error:
+                    # Only this request fails; the others are dispatched after it.
+                    TASK_FAILURES.record("dispatcher", error)
+                    self.queue.discard(queued)
+                    queued.fail(error)
         finally:
             # No await may come between the last check of the queue and this deletion,
             # or a request queued in between would wait for a task that has ended.
--- a/src/laburnumpitch/relay/leader_notices.py
+++ b/src/laburnumpitch/relay/leader_notices.py
@@ -6,6 +6,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
+from .._tasks import start_task
 from ..errors import LaburnumpitchError
 from ..fleet.leader_client import LeaderClient
 from ..logging import get_logger
@@ -38,7 +39,7 @@
 
     def start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
         """Run what sends a notice in the background."""
-        task = asyncio.create_task(coroutine)
+        task = start_task("leader_notice", coroutine)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
--- a/src/laburnumpitch/relay/request_queue.py
+++ b/src/laburnumpitch/relay/request_queue.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from ..errors import InternalError, LaburnumpitchError
 from ..fleet.messages import TargetRecord
 from ..policy.queue_priority import QueuePriority, get_sort_key
 from .request import AdmittedRequest
@@ -31,6 +32,16 @@
         """The queue that the request waits in."""
         return (self.admitted.service, self.build)
 
+    def fail(self, error: Exception) -> None:
+        """Fail the request, unless it is no longer waited for."""
+        if self.future.done():
+            return
+        if not isinstance(error, LaburnumpitchError):
+            error = InternalError(f"dispatching failed: {error!r}")
+        self.future.set_exception(error)
+        # Without a warning if nobody awaits it any more.
+        self.future.exception()
+
 
 class RequestQueue:
     """Queues by service and build, each ordered by priority.
--- a/src/laburnumpitch/transport/rpc.py
+++ b/src/laburnumpitch/transport/rpc.py
@@ -16,6 +16,7 @@
 import zmq
 import zmq.asyncio
 
+from .._tasks import start_loop, start_task
 from ..errors import (
     CodecError,
     InternalError,
@@ -133,7 +134,7 @@
             self.socket.bind(f"tcp://{self.host}:{self.port}")
         else:
             self.port = self.socket.bind_to_random_port(f"tcp://{self.host}")
-        self.receive_task = asyncio.create_task(self.receive_requests())
+        self.receive_task = start_loop("rpc_server", self.receive_requests)
 
     async def close(self) -> None:
         """Stop answering and release the address."""
@@ -151,8 +152,8 @@
                 continue
             peer, request_id, kind, data = frames
             TRAFFIC.received_bytes += len(data)
-            task = asyncio.create_task(
-                self.handle_request(peer, request_id, kind, data)
+            task = start_task(
+                "rpc_handler", self.handle_request(peer, request_id, kind, data)
             )
             self.handler_tasks.add(task)
             task.add_done_callback(self.handler_tasks.discard)
@@ -210,7 +211,7 @@
         self.socket.connect(f"tcp://{address}")
         self.request_numbers = itertools.count(1)
         self.pending_requests: dict[bytes, asyncio.Future[Any]] = {}
-        self.receive_task = asyncio.create_task(self.receive_answers())
+        self.receive_task = start_loop("rpc_client", self.receive_answers)
 
     def close(self) -> None:
         """Fail the pending requests and close the connection."""
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -4,7 +4,9 @@
 
 import asyncio
 
-from laburnumpitch.errors import OverloadedError
+from laburnumpitch.errors import InternalError, OverloadedError
+from laburnumpitch.fleet.messages import PlaceCall
+from laburnumpitch.relay.request import AdmittedRequest
 
 from .relay_case import RelayCase, make_answer
 
@@ -44,6 +46,39 @@
 
         self.run_relay([[make_answer()]], scenario)
 
+    def test_one_that_cannot_be_dispatched(self) -> None:
+        """The first request in the queue fails; the one behind it gets the target."""
+
+        async def scenario() -> None:
+            dispatcher = self.services.dispatcher
+            odd = self.make_admitted("once", prompt_tokens=0)
+            sound = self.make_admitted("once", prompt_tokens=0)
+            limit = 2 * dispatcher.catalog.get_targets("shop")[0].slots
+            for _ in range(limit):
+                target = await dispatcher.acquire(
+                    sound, frozenset(), self.get_deadline_s()
+                )
+            waiting = []
+            for admitted in (odd, sound):
+                work = dispatcher.acquire(admitted, frozenset(), self.get_deadline_s())
+                waiting.append(asyncio.ensure_future(work))
+                while len(dispatcher.queue) < len(waiting):
+                    await asyncio.sleep(0)
+            make_place_call = dispatcher.make_place_call
+
+            def fail_odd(admitted: AdmittedRequest, *arguments: object) -> PlaceCall:
+                if admitted is odd:
+                    raise KeyError("odd")
+                return make_place_call(admitted, *arguments)
+
+            dispatcher.make_place_call = fail_odd
+            dispatcher.release(target, sound)
+            results = await asyncio.gather(*waiting, return_exceptions=True)
+            self.assertIsInstance(results[0], InternalError)
+            self.assertEqual(target, results[1])
+
+        self.run_relay([[make_answer()]], scenario)
+
     def test_no_capacity_in_time(self) -> None:
         """A request without a target in time is refused as not run."""
 
