Wait for the directory, not for a second, in the golden sessions

Cause, by the recorded session: the test slept a second for the engine's events to reach the directory, and one of four pieces had. Ruled out: a changed answer (the rest of the session is equal).

Now it asks another question until all pieces are found, and then compares the recorded one as before, to the letter.

--- a/tests/integration/test_golden.py
+++ b/tests/integration/test_golden.py
@@ -44,6 +44,13 @@
 LOAD_END_TIMEOUT_S = 60.0
 """Time for the controller to notice that an engine has loaded its weights."""
 
+HISTORY_TOKENS = 1024
+ALL_PIECES_REUSED = " reused=4 "
+"""Part of the line of a dispatched question that reuses the whole history."""
+
+MAX_QUESTIONS = 60
+QUESTION_INTERVAL_S = 0.5
+
 RECORDED_EVENTS = (
     "dispatched",
     "first_token",
@@ -170,23 +177,38 @@
 
     def check_questions(self, cluster: Cluster) -> None:
         """A question without kept context, and one with it through another entry."""
-        history = make_prompt_text("golden", 1024)
         for name, entry, question in (
             ("cold_question", "e1", "Is it open?"),
             ("returning_question", "e2", "Which gate?"),
         ):
-            recorder = SessionRecorder(self, cluster)
-            body = {
-                "model": "route-judge",
-                "prompt": history + question,
-                "max_tokens": 3,
-                "stream": True,
-            }
-            self.run_async(recorder.send(entry, "/v1/completions", body))
-            recorder.record_events(entry)
+            recorder = self.ask(cluster, entry, question)
             recorder.compare_with_golden(name)
-            # Wait until the directory has the engine's events.
-            self.run_async(asyncio.sleep(1.0))
+            self.wait_until_located(cluster)
+
+    def ask(self, cluster: Cluster, entry: str, question: str) -> SessionRecorder:
+        """Ask a question on the history at an entry, and return what was recorded."""
+        recorder = SessionRecorder(self, cluster)
+        body = {
+            "model": "route-judge",
+            "prompt": make_prompt_text("golden", HISTORY_TOKENS) + question,
+            "max_tokens": 3,
+            "stream": True,
+        }
+        self.run_async(recorder.send(entry, "/v1/completions", body))
+        recorder.record_events(entry)
+        return recorder
+
+    def wait_until_located(self, cluster: Cluster) -> None:
+        """Wait until the directory has all of the history's pieces.
+
+        It learns of them by the engine's events, which come late under load.
+        """
+        for _ in range(MAX_QUESTIONS):
+            recorder = self.ask(cluster, "e2", "Where is it?")
+            if any(ALL_PIECES_REUSED in line for line in recorder.lines):
+                return
+            self.run_async(asyncio.sleep(QUESTION_INTERVAL_S))
+        self.fail("the directory does not have the history's pieces")
 
     def check_order(self, cluster: Cluster) -> None:
         """An order, its resend through another entry, and a refusal without a key."""
