List nodes that have not found a new leader yet

Cause: a new leader publishes the nodes that have called it, one at first, and the nodes that hold a stream's origin are chosen among these.

test_expected_hosts fails without the change: the list was empty.

--- a/src/laburnumpitch/fleet/fleet_publisher.py
+++ b/src/laburnumpitch/fleet/fleet_publisher.py
@@ -307,7 +307,7 @@
         facts = FleetFacts(
             weights=dict(state.weights),
             members=self.replica.core.committed_members,
-            hosts=self.subscriptions.list_live_hosts(),
+            hosts=self.subscriptions.list_expected_hosts(),
             quarantined=list(self.quarantine.fingerprints),
             keepers=self.assignments,
             quarantined_pieces=list(self.quarantine.pieces),
--- a/src/laburnumpitch/fleet/subscriptions.py
+++ b/src/laburnumpitch/fleet/subscriptions.py
@@ -84,6 +84,16 @@
         now_s = self.get_time_s()
         return sorted(h for h, s in self.by_host.items() if s.is_live(now_s))
 
+    def list_expected_hosts(self) -> list[str]:
+        """Return the reachable nodes, and those that may be about to call.
+
+        After an election, the nodes that followed the former leader count for a while.
+        """
+        hosts = set(self.list_live_hosts())
+        if self.get_time_s() - self.started_s < KNOWN_NODES_TIMEOUT_S:
+            hosts |= self.awaited_hosts
+        return sorted(hosts)
+
     async def wait_for_call(self, deadline_s: float) -> bool:
         """Wait until a node calls; return whether the deadline has not passed."""
         remaining_s = deadline_s - self.get_time_s()
--- a/tests/fleet/test_fleet_publisher.py
+++ b/tests/fleet/test_fleet_publisher.py
@@ -153,6 +153,23 @@
 
         asyncio.run(run())
 
+    def test_expected_hosts(self) -> None:
+        """Nodes that have not found the new leader yet are listed for a while."""
+
+        async def run() -> None:
+            publisher = make_publisher()
+            hosts = [f"h{number}" for number in range(NODES)]
+            facts = FleetFacts({}, [], hosts, [], {}, leader_host=hosts[0])
+            publisher.get_facts = lambda: facts
+            publisher.reset(TERM)
+            publisher.update_facts()
+            self.assertEqual(set(hosts[1:]), set(publisher.facts.hosts))
+            publisher.subscriptions.started_s -= KNOWN_NODES_TIMEOUT_S
+            publisher.update_facts()
+            self.assertEqual([], publisher.facts.hosts)
+
+        asyncio.run(run())
+
     def test_lost_node_is_not_awaited_for_ever(self) -> None:
         """A node that does not call after the election counts as lost."""
 
