Infer a stream's build only where its route cannot have moved

Cause: what nobody remembers was inferred from the route's present service. Now builds are on record for services of resumable routes only, and nothing is inferred with more than one such service on record.

unknown_route_may_have_moved and LeaderAnswerTest fail without the change.

--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -157,6 +157,11 @@
         store_names = [store.address for store in stores]
         return store_names + [make_assignment_key(s) for s in self.list_services()]
 
+    def list_resumable_services(self) -> list[str]:
+        """Return the services whose streams may go on at another target."""
+        configuration = self.fleet_view.configuration
+        return list(configuration.resumable_services) if configuration else []
+
     def list_services(self) -> list[str]:
         """Return the names of the configured services that have targets."""
         configuration = self.fleet_view.configuration
@@ -222,7 +227,7 @@
                 "rollout_controller", self.rollout_controller.run
             )
             registry = BuildRegistry(
-                self.replica_manager, self.list_services, get_boottime_s
+                self.replica_manager, self.list_resumable_services, get_boottime_s
             )
             self.registry_task = start_loop("build_registry", registry.run)
         await self.fleet_view.start()
--- a/src/laburnumpitch/relay/configuration.py
+++ b/src/laburnumpitch/relay/configuration.py
@@ -171,6 +171,16 @@
                     found.setdefault(share.service, []).append(route.request_kind)
         return found
 
+    @cached_property
+    def resumable_services(self) -> frozenset[str]:
+        """Services of the routes whose streams may go on at another target."""
+        return frozenset(
+            share.service
+            for route in self.routes
+            if route.is_resumable
+            for share in route.shares
+        )
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route whose prefix matches the most of a path, or None."""
         for route in self.routes_by_host.get(host, ()):
--- a/src/laburnumpitch/relay/stream_origins.py
+++ b/src/laburnumpitch/relay/stream_origins.py
@@ -29,8 +29,14 @@
 """Number of nodes that are asked; more than were told, as nodes may differ for a moment
 on which nodes are live."""
 
-FIND_TIMEOUT_S = 0.1
-"""Timeout of asking: a round trip between data centres and some work."""
+FIND_TIMEOUT_S = 0.4
+"""Timeout of asking: a new connection and a call to another region."""
+
+INFER_TIMEOUT_S = 0.7
+"""Longest wait for an answer of the leader, which holds calls for up to 0.6 s."""
+
+INFER_INTERVAL_S = 0.05
+"""Interval of checks whether the leader has answered."""
 
 ORIGIN_VALIDITY_S = 120.0
 """Time for which the origin of a stream is remembered; longer than a stream lasts and
@@ -77,7 +83,12 @@
         self.log = get_logger()
 
     def record(self, attempt_id: str, origin: StreamOrigin) -> None:
-        """Remember the origin of a stream that begins now, and tell other nodes."""
+        """Remember the origin of a stream that begins now, and tell other nodes.
+
+        Targets that older software has recorded have no build.
+        """
+        if not origin.build:
+            return
         self.store(attempt_id, origin)
         notice = StreamBegun(attempt_id, origin.service, origin.build)
         for host in self.rank_holders(attempt_id)[:HOLDERS]:
@@ -93,6 +104,7 @@
         """Remember an origin, and drop those that are out of date."""
         now_s = self.get_time_s()
         self.known[attempt_id] = (origin, now_s)
+        self.known.move_to_end(attempt_id)
         while self.known:
             _, began_s = next(iter(self.known.values()))
             is_expired = now_s - began_s > ORIGIN_VALIDITY_S
@@ -149,7 +161,7 @@
         origin = await self.find(attempt_id) if attempt_id else None
         source = "record" if origin is not None else "inferred"
         if origin is None:
-            origin = self.infer(admitted)
+            origin = await self.infer_soon(admitted)
         is_allowed = origin is not None and admitted.route.allows_service(
             origin.service
         )
@@ -176,15 +188,25 @@
     def infer(self, admitted: AdmittedRequest) -> StreamOrigin | None:
         """Return the only origin that a stream can have, or None if there are several.
 
-        Without contact to the leader, other builds may be on record by now.
+        A route may have moved from any service on record to another one. Without
+        contact to the leader, other builds may be on record by now.
         """
-        route = admitted.route
-        services = [share.service for share in route.shares if share.weight > 0]
-        if len(services) != 1:
+        on_record = self.fleet_view.builds or {}
+        if set(on_record) != {admitted.service}:
             return None
-        builds = self.get_builds(services[0])
+        builds = on_record[admitted.service]
         build = infer_build(builds, self.fleet_view.get_contact_age_s())
-        return StreamOrigin(services[0], build) if build is not None else None
+        return StreamOrigin(admitted.service, build) if build is not None else None
+
+    async def infer_soon(self, admitted: AdmittedRequest) -> StreamOrigin | None:
+        """Infer an origin; wait for the leader's next answer if that may help."""
+        deadline_s = self.get_time_s() + INFER_TIMEOUT_S
+        while (origin := self.infer(admitted)) is None:
+            is_certain_later = len(self.get_builds(admitted.service)) == 1
+            if not is_certain_later or self.get_time_s() >= deadline_s:
+                return None
+            await asyncio.sleep(INFER_INTERVAL_S)
+        return origin
 
     def get_builds(self, service: str) -> dict[str, bool]:
         """Return the builds of a service on record, as this node knows them."""
--- a/tests/relay/test_stream_origins.py
+++ b/tests/relay/test_stream_origins.py
@@ -166,6 +166,16 @@
                 "counts": [0, 0],
             },
         ),
+        (
+            "unknown_route_may_have_moved",
+            {
+                "origin": None,
+                "builds_on_record": {OLD: True},
+                "other_services": {"other": {OLD: True}},
+                "status": 503,
+                "counts": [0, 0],
+            },
+        ),
         (
             "other_service",
             {"origin": OLD, "service": "other", "status": 503, "counts": [0, 0]},
@@ -174,6 +184,8 @@
     builds_on_record = {OLD: True, NEW: True}
     target_builds = {1: NEW}
     service = SERVICE
+    route = "resumed"
+    other_services: dict[str, dict[str, bool]] = {}
     contact_age_s = 0.1
 
     def test_stream_taken_up_at_another_build(self) -> None:
@@ -181,11 +193,12 @@
 
         async def scenario() -> None:
             self.fleet_view.get_contact_age_s = lambda: self.contact_age_s
+            self.fleet_view.builds.update(self.other_services)
             if self.origin is not None:
                 origin = StreamOrigin(self.service, self.origin)
                 self.stream_origins.store("a0", origin)
             status, headers, body = await self.send_request(
-                "resumed", resumes="a0", last_event_id="1"
+                self.route, resumes="a0", last_event_id="1"
             )
             self.assertEqual(self.status, status)
             self.assertEqual(self.counts, self.count_requests())
@@ -237,3 +250,20 @@
 
         answer = make_stream(FIRST_EVENT)
         self.run_relay([[answer], [answer]], scenario)
+
+
+class LeaderAnswerTest(RelayCase):
+    """A stream whose origin follows from the record, which is just too old."""
+
+    def test_stream_is_not_refused(self) -> None:
+        """The request waits for the leader's next answer."""
+
+        async def scenario() -> None:
+            ages_s = iter((MAX_RECORD_AGE_S, MAX_RECORD_AGE_S))
+            self.fleet_view.get_contact_age_s = lambda: next(ages_s, 0.0)
+            status, _, _ = await self.send_request(
+                "resumed", resumes="a0", last_event_id="1"
+            )
+            self.assertEqual(200, status)
+
+        self.run_relay([[make_stream(SECOND_EVENT)]], scenario)
