Bind a stream that is taken up on a route that is not resumable any more

A request that names the beginning of its stream went to any build if a configuration had taken `resumable` from its route. The row not_resumable_any_more fails without the change (found by review).

--- a/src/laburnumpitch/relay/request.py
+++ b/src/laburnumpitch/relay/request.py
@@ -8,7 +8,7 @@
 
 from ..fleet.messages import TargetRecord
 from ..transport.http_server import Headers, HttpRequest
-from .configuration import Organisation, Route
+from .configuration import STREAMING, Organisation, Route
 
 FINGERPRINT_BYTES = 8
 
@@ -79,9 +79,10 @@
     def is_take_up(self) -> bool:
         """Whether the client goes on with a stream that another attempt began."""
         metadata = self.metadata
-        return self.route.is_resumable and bool(
-            metadata.begun_by or metadata.last_event_id
-        )
+        if self.route.kind != STREAMING:
+            return False
+        is_continued = self.route.is_resumable and bool(metadata.last_event_id)
+        return bool(metadata.begun_by) or is_continued
 
     @property
     def priority_class(self) -> int:
--- a/tests/relay/test_stream_origins.py
+++ b/tests/relay/test_stream_origins.py
@@ -176,6 +176,10 @@
                 "counts": [0, 0],
             },
         ),
+        (
+            "not_resumable_any_more",
+            {"route": "stream", "origin": NEW, "status": 200, "counts": [0, 1]},
+        ),
         (
             "other_service",
             {"origin": OLD, "service": "other", "status": 503, "counts": [0, 0]},
