--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -271,11 +271,22 @@
         """
         headers = self.services.make_answer_headers(answer.headers)
         gap_timeout_s = get_gap_timeout_s(self.route)
+        self.check_incarnation(target)
         self.stream.on_start = lambda: self.bind_build(target)
         async for _ in self.stream.deliver(answer, headers):
             self.record_event(target)
             answer.deadline_s = self.deadlines.choose_deadline_s(gap_timeout_s)
 
+    def check_incarnation(self, target: TargetRecord) -> None:
+        """Check that a stream's target has not restarted, maybe with another build.
+
+        Raises:
+            TargetError: If it has announced itself anew since it was chosen.
+        """
+        entry = self.services.fleet_view.targets.entries.get(target.target_id)
+        if entry is not None and entry.record.born_ms != target.born_ms:
+            raise TargetError("the target has restarted")
+
     def bind_build(self, target: TargetRecord) -> None:
         """Record which build begins the stream, before its first event goes out."""
         if not self.route.is_resumable:
--- a/tests/relay/test_stream_origins.py
+++ b/tests/relay/test_stream_origins.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
+
+from msgspec.structs import replace
+
 from laburnumpitch.errors import TargetError
 from laburnumpitch.policy.build_history import MAX_RECORD_AGE_S
 from laburnumpitch.relay.stream_origins import StreamOrigin
@@ -255,6 +259,24 @@
         answer = make_stream(FIRST_EVENT)
         self.run_relay([[answer], [answer]], scenario)
 
+    def test_target_restarted(self) -> None:
+        """A target that has restarted, maybe with another build, begins no stream."""
+
+        async def scenario() -> None:
+            sending = asyncio.ensure_future(self.send_request("resumed"))
+            while not self.count_requests()[1]:
+                await asyncio.sleep(0)
+            table = self.fleet_view.targets
+            restarted = replace(table.entries["t1"].record, born_ms=2, build=NEW)
+            table.put(restarted, 0.0)
+            status, _, _ = await sending
+            self.assertEqual(200, status)
+            self.assertEqual([0, 1, 1], self.count_requests())
+
+        answer = make_stream(FIRST_EVENT)
+        slow = PacedAnswer((b"", answer), 0.2)
+        self.run_relay([[answer], [slow], [answer]], scenario)
+
 
 class LeaderAnswerTest(RelayCase):
     """A stream whose origin follows from the record, which is just too old."""
