Fuzz the decoders with odd numbers and deep nesting

The fuzz tests tried numbers of up to 64 bits, in place of whole messages, and nesting that is never closed. They now also put odd numbers in place of each number of a sample, close the nesting, decode below other calls, and use what was decoded as the callers do: it has to be possible to send it on. The call that names a weight version is a further decoder, the sample of events has a clock, and the headers of clients include numbers of more than 64 bits.

Ruled out: more random examples. The odd values are few, so all are tried.

--- a/tests/fuzz/test_decoders.py
+++ b/tests/fuzz/test_decoders.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import re
 import tempfile
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import msgspec
 import testtools
@@ -13,9 +15,15 @@
 from laburnumpitch.clock import HybridLogicalClock
 from laburnumpitch.control.log_store import decode_record, encode_record
 from laburnumpitch.errors import LaburnumpitchError
-from laburnumpitch.fleet.messages import GrantContext, PlaceCall
+from laburnumpitch.fleet.messages import (
+    GrantContext,
+    PlaceCall,
+    StoreConfiguration,
+    TargetRecord,
+)
 from laburnumpitch.platform.announcements import decode_announcement
 from laburnumpitch.platform.configuration import decode_configuration
+from laburnumpitch.platform.control_api import decode_version_put
 from laburnumpitch.platform.http_headers import HeaderTranslator
 from laburnumpitch.platform.settings_file import read_settings
 from laburnumpitch.platform.target_client import (
@@ -31,6 +39,22 @@
 EXAMPLES = 300
 """Inputs of each decoder and kind; the same ones in each run."""
 
+NUMBER_PATTERN = re.compile(rb"[0-9]+")
+ODD_NUMBERS = [
+    *(b"%d" % number for number in (-1, 0, 65536, 2**31, 2**53, 2**63 - 1, 2**63)),
+    *(b"%d" % number for number in (2**64 - 1, 2**64, 2**70, -(2**63), -(2**70))),
+    *(b"9" * digits for digits in (400, 5000)),
+    *(b"0.5", b"-0", b"1e305", b"-1e305", b"1e400", b"1e-400", b"NaN", b"Infinity"),
+    *(b"null", b"true", b'"1"', b"[]"),
+]
+"""What takes the place of a number in a sample; numbers in texts among them."""
+
+NESTING_DEPTHS = (30, 100, 400, 900, 990, 1100, 5000)
+"""Depths around the decoder's own limits at different stacks of the caller."""
+
+STACK_FRAMES = (0, 300, 600)
+"""Calls below which deeply nested input is decoded."""
+
 VALUES = strategies.recursive(
     strategies.none()
     | strategies.booleans()
@@ -49,9 +73,10 @@
     "configuration": b'{"version":7,"routes":[{"name":"r","host":"h","path_prefix":'
     b'"/a/","route_type":"idempotent","timeout_ms":4000,"service":"s"}],"services":'
     b'[{"name":"s"}],"limits":{},"tenants":[{"name":"t","api_keys":["k"]}]}',
+    "version_put": b'{"model":"m","version":2}',
     "report": b'{"sequence":2,"busy":false,"models":[{"name":"m","version":1}]}',
     "events": b'{"epoch":1,"next_token":2,"has_gap":false,'
-    b'"events":[[1,"+","s","p",800,"m"]]}',
+    b'"events":[[1,"+","s","p",800,"m"]],"clock_ms":5}',
     "listing": b'{"epoch":1,"next_token":2,"held_entries":[["s","p",800,"m"]]}',
     "message": encode(GrantContext("a", "s", ["p"], [1], "dc")),
     "record": encode_record(encode(GrantContext("a", "s", ["p"], [1], "dc"))),
@@ -74,9 +99,30 @@
         decode(body)
 
 
+def send_report_on(report: WireReport) -> None:
+    """Send on what the leader takes from a report."""
+    versions = {model.name: model.version for model in report.models}
+    encode(TargetRecord("t", "s", "a", "dc", 1, 1, 1, versions=versions))
+
+
+def use_events(events: WireEvents) -> None:
+    """Calculate with events as a store's owner does."""
+    float(events.clock_ms or 0) + sum(event[4] for event in events.events) * 1.5
+
+
+USES: dict[str, Callable[[Any], object]] = {
+    "announcement": encode,
+    "configuration": lambda item: encode(StoreConfiguration(item.version, b"")),
+    "version_put": encode,
+    "report": send_report_on,
+    "events": use_events,
+}
+"""What is done with decoded input at once; it raises no error at all."""
+
 DECODERS: dict[str, Callable[[bytes], object]] = {
     "announcement": lambda data: decode_announcement("t1", data),
     "configuration": decode_configuration,
+    "version_put": decode_version_put,
     "report": lambda data: decode_answer(data, WireReport),
     "events": lambda data: decode_answer(data, WireEvents),
     "listing": lambda data: decode_answer(data, WireListing),
@@ -91,11 +137,20 @@
     scenarios = [(name, {"name": name}) for name in DECODERS]
 
     def check(self, data: bytes) -> None:
-        """Decode, and let only typed errors pass."""
+        """Decode and use the result; let only the decoder's typed errors pass."""
         try:
-            DECODERS[self.name](data)
+            decoded = DECODERS[self.name](data)
         except LaburnumpitchError:
-            pass
+            return
+        if self.name in USES:
+            USES[self.name](decoded)
+
+    def check_below(self, frames: int, data: bytes) -> None:
+        """Decode below a number of other calls."""
+        if frames:
+            self.check_below(frames - 1, data)
+        else:
+            self.check(data)
 
     def test_sample(self) -> None:
         """The sample that the damaged inputs are made of is valid."""
@@ -146,6 +201,23 @@
         for opening in (b"[", b'{"a":', b"\x91"):
             self.check(opening * 100_000)
 
+    def test_nesting_in_an_unknown_field(self) -> None:
+        """Nesting that is complete, at different stacks of the caller."""
+        sample = SAMPLES[self.name]
+        for depth in NESTING_DEPTHS:
+            for opening, closing in ((b"[", b"]"), (b'{"a":', b"}")):
+                nested = opening * depth + b"1" + closing * depth
+                data = sample[:-1] + b',"extra":' + nested + b"}"
+                for frames in STACK_FRAMES:
+                    self.check_below(frames, data)
+
+    def test_odd_numbers(self) -> None:
+        """A valid input in which one number is odd."""
+        sample = SAMPLES[self.name]
+        for match in NUMBER_PATTERN.finditer(sample):
+            for number in ODD_NUMBERS:
+                self.check(sample[: match.start()] + number + sample[match.end() :])
+
 
 class MessageTest(testtools.TestCase):
     """Messages with a valid envelope."""
@@ -180,7 +252,10 @@
         """Each value is read, or refused with a typed error."""
         translator = HeaderTranslator()
         values = strategies.text(max_size=40) | strategies.sampled_from(
-            ["nan", "inf", "-1", "1e400", "9" * 5000, ":", ",", "a:1,b:-5", "0,0,0"]
+            [
+                *("nan", "inf", "-1", "1e400", "9" * 400, "9" * 5000, ":", ","),
+                *("a:1,b:-5", "0,0,0", f"{2**64},1", f"a:{2**70}"),
+            ]
         )
 
         @settings(max_examples=EXAMPLES, derandomize=True, database=None)
@@ -196,6 +271,8 @@
             self.assertGreaterEqual(metadata.prompt_tokens, 0)
             self.assertGreaterEqual(metadata.output_tokens, 0)
             self.assertGreaterEqual(metadata.shared_tokens, 0)
+            tokens = (metadata.prompt_tokens, metadata.shared_tokens)
+            encode(PlaceCall("s", "", "m", *tokens, 1, 1.0, 1.0, "dc", [], []))
 
         run()
 
