--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -2,9 +2,18 @@
 
 from __future__ import annotations
 
+import re
+from pathlib import Path
+
 import testtools
 
-from laburnumpitch.metrics import METRICS, Metrics
+import laburnumpitch
+from laburnumpitch.metrics import METRICS, METRICS_BY_NAME, Metrics
+
+RECORDING_PATTERN = re.compile(
+    r'metrics\.(?:count|set_gauge|record_duration)\(\s*"([a-z_.]+)"'
+)
+"""The name of a metric where the program records it."""
 
 
 class MetricsTest(testtools.TestCase):
@@ -33,3 +42,14 @@
             else:
                 metrics.count(metric.name)
         self.assertEqual(len(METRICS), metrics.render().count(b"# HELP"))
+
+    def test_every_recorded_metric_is_known(self) -> None:
+        """One that the table lacks would fail each export of all metrics."""
+        folder = Path(laburnumpitch.__file__).parent
+        recorded = {
+            name
+            for path in folder.rglob("*.py")
+            for name in RECORDING_PATTERN.findall(path.read_text())
+        }
+        self.assertIn("request.accepted", recorded)
+        self.assertEqual(set(), recorded - set(METRICS_BY_NAME))
