Let soak clients take streams up while builds are released

What callers saw: streams with events of two software versions of a back end (docs/incidents/2026-12-05-streams-joined-from-two-versions.md). No soak could show it: all targets had one build, the events named none, clients gave a broken stream up, and the nodes never went down together.

Clients of the route `resumed` keep what they received and take a broken stream up at another ready node, up to three times in 12 s, some after a pause, and abort a quarter of the streams themselves. A target of a new build starts and an old one leaves, one at a time. All nodes are killed together while two builds serve, or right after the old one has left.

Checks: `streams_of_one_build` compares what a client received over all its attempts, also of broken answers, with the one stream that a build writes: another build, a gap or a repetition differs. `taken_up_streams_go_on` compares the share of take-ups that go on, while a target of the build serves, with that of new streams that begin. `streams_in_order` compares all bytes as before, from the event that the client named, with the events of the first event's build. `service_recovers` judges the requests that it judged before; take-ups, which may rightly be refused, are left to the new check.

tests/harness/test_soak.py plants each fault in a history; the short soak passes.

--- a/harness/soak/__main__.py
+++ b/harness/soak/__main__.py
@@ -17,18 +17,23 @@
 
 from ..fault_proxy import FaultProxy
 from ..history import Verdict
-from .checks import SoakHistory, check_all
+from .checks import check_all
 from .clients import SoakClients
 from .fault_injector import SoakFaultInjector
 from .fleet import SoakFleet, make_run_folder
+from .node_outages import NodeOutages
 from .operator import (
     ENGINE_SERVICE,
     ISOLATED_ORGANISATIONS,
     PLAIN_SERVICES,
     SoakOperator,
 )
+from .releases import SPARE_COUNT, BuildReleases
+from .soak_history import SoakHistory
 
 ENGINE_TARGET_COUNT = 4
+"""Number of engines in service."""
+
 PLAIN_TARGET_COUNT = 2
 RECOVERY_S = 12.0
 """Time that the fleet has to recover after the last fault."""
@@ -68,12 +73,15 @@
             upstream = f"127.0.0.1:{target.port}"
             link = await asyncio.to_thread(proxy.add_link, target.name, upstream)
             target.address = link.address
+        releases = BuildReleases(targets[SPARE_COUNT:], targets[:SPARE_COUNT])
+        for target in releases.spares:
+            await target.crash()
         operator = SoakOperator(fleet, random.Random(seed + 1))
         await operator.change_configuration()
         await asyncio.to_thread(fleet.wait_until_configured)
         await asyncio.sleep(1.0)
         clients = SoakClients(fleet, operator, random.Random(seed + 2))
-        injector = SoakFaultInjector(fleet, targets, proxy, rng)
+        injector = SoakFaultInjector(fleet, releases, proxy, rng)
         history, injector = await run_phases(
             fleet, operator, clients, injector, journal, seconds, options
         )
@@ -91,9 +99,9 @@
 
 
 def make_targets(fleet: SoakFleet, journal: Journal, seed: int) -> list[PlatformTarget]:
-    """Return the targets of all services, not yet started."""
+    """Return the targets of all services, not yet started, the spare ones first."""
     counts = {
-        ENGINE_SERVICE: ENGINE_TARGET_COUNT,
+        ENGINE_SERVICE: ENGINE_TARGET_COUNT + SPARE_COUNT,
         **dict.fromkeys(PLAIN_SERVICES, PLAIN_TARGET_COUNT),
     }
     return [
@@ -130,8 +138,10 @@
     fault_task = asyncio.create_task(
         injector.run(options.fault_interval_s, unplanned_s)
     )
+    outage_task = asyncio.create_task(NodeOutages(injector).run(unplanned_s))
     await asyncio.sleep(seconds)
     fault_task.cancel()
+    await outage_task
     await injector.finish()
     recovery_deadline_s = time.monotonic() + RECOVERY_S
     await asyncio.sleep(RECOVERY_S + FAULT_FREE_S)
@@ -163,12 +173,15 @@
     records = history.records
     served = sum(record.status == 200 for record in records)
     refused = sum(record.status == 503 for record in records)
+    take_ups = [record for record in records if record.is_take_up]
     violations = sum(len(verdict.violations) for verdict in verdicts)
     return (
         f"requests={len(records)} served={served} refused={refused} "
         f"runs={sum(a.has_run for a in history.journal.arrivals)} "
         f"changes={len(history.operator.configuration_changes)} "
         f"weights={len(history.operator.weight_version_changes)} "
+        f"builds={injector.releases.newest} outages={injector.outages} "
+        f"take_ups={len(take_ups)} went_on={sum(r.goes_on for r in take_ups)} "
         f"faults={len(injector.events)} "
         f"violations={violations}"
     )
--- a/harness/soak/checks.py
+++ b/harness/soak/checks.py
@@ -5,18 +5,19 @@
 import json
 from collections import Counter, defaultdict
 from collections.abc import Iterable
-from dataclasses import dataclass
 
-from standins.platform_target import Arrival, Journal, get_event_count, make_event
+from standins.platform_target import Arrival, Journal
 
 from ..history import Verdict
-from .clients import RequestRecord
+from .clients import STREAMING_ROUTES, RequestRecord
 from .operator import (
     PLAIN_SERVICES,
     VERSIONED_ROUTE_LIFETIME,
     ConfigurationChange,
     SoakOperator,
 )
+from .soak_history import FAULT_RECOVERY_S, SoakHistory
+from .stream_checks import check_builds, check_streams, check_take_ups
 
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 """Statuses that promise that a request has not run and will not run."""
@@ -27,9 +28,6 @@
 CONFIGURATION_DELAY_S = 2.0
 """Time from a configuration's acknowledgement until all nodes must apply it."""
 
-FAULT_RECOVERY_S = 3.0
-"""Time after a fault in which a node is exempt from the checks of delays."""
-
 HOLDER_CHANGE_MIN_S = 3.0
 """Shortest time between orders of two different lease holders."""
 
@@ -50,32 +48,6 @@
 """Smallest part of the requests that must be served after the recovery."""
 
 
-@dataclass
-class SoakHistory:
-    """What clients, targets and the operator recorded during a run."""
-
-    records: list[RequestRecord]
-    journal: Journal
-    operator: SoakOperator
-    node_fault_times_s: dict[str, list[float]]
-    """Times at which a fault began or ended, by node."""
-    planned_stop_times_s: dict[str, list[float]]
-    """Times of planned stops, by node."""
-    unplanned_fault_times_s: list[float]
-    """Times at which an unplanned fault began or ended, anywhere."""
-    recovery_deadline_s: float
-    """Time by which the fleet must have recovered from the last fault."""
-
-    def is_fault_free(self, host: str, start_s: float, end_s: float) -> bool:
-        """Whether no fault began or ended at a node in a span, or shortly before it.
-
-        A node that was suspended answers what waited for it when it is resumed, so the
-        fault ends within the span of such a request.
-        """
-        times = self.node_fault_times_s.get(host, ())
-        return not any(start_s - FAULT_RECOVERY_S <= t <= end_s for t in times)
-
-
 def check_all(history: SoakHistory) -> list[Verdict]:
     """Check every property."""
     runs: dict[str, list[Arrival]] = defaultdict(list)
@@ -87,6 +59,8 @@
         check_refusals(history.records, runs),
         check_answers(history.records, runs),
         check_streams(history.records),
+        check_builds(history.records),
+        check_take_ups(history),
         check_organisations(history, runs),
         check_context_isolation(history.journal),
         check_draining(history),
@@ -132,24 +106,12 @@
             continue
         seals = {arrival.seal for arrival in runs.get(record.attempt, ())}
         is_own = record.seal in seals
-        if record.route not in ("ask", "resumed"):
+        if record.route not in STREAMING_ROUTES:
             is_own &= json.loads(record.body)["attempt"] == record.attempt
         verdict.expect(is_own, f"{record.attempt}: {record.seal} {record.body[:80]}")
     return verdict
 
 
-def check_streams(records: list[RequestRecord]) -> Verdict:
-    """Check that successful streams have every event once and in order."""
-    verdict = Verdict("streams_in_order")
-    for record in records:
-        if record.status == 200 and record.route in ("ask", "resumed"):
-            count = get_event_count(record.attempt)
-            expected = "".join(make_event(record.attempt, n + 1) for n in range(count))
-            is_complete = record.body == expected.encode()
-            verdict.expect(is_complete, f"{record.attempt}: {record.body[-60:]}")
-    return verdict
-
-
 def check_organisations(
     history: SoakHistory, runs: dict[str, list[Arrival]]
 ) -> Verdict:
@@ -330,7 +292,11 @@
 
 
 def check_recovery(history: SoakHistory) -> Verdict:
-    """Check that requests are served, by engines with current weights, at the end."""
+    """Check that requests are served, by engines with current weights, at the end.
+
+    A stream is not taken up if no target of its build is left; `check_take_ups` counts
+    those.
+    """
     verdict = Verdict("service_recovers")
     requests_after_recovery = [
         record
@@ -338,6 +304,7 @@
         if record.sent_s > history.recovery_deadline_s
         and not record.has_disconnected
         and not record.introduced_version
+        and not record.is_take_up
     ]
     served = Counter(record.status == 200 for record in requests_after_recovery)[True]
     if requests_after_recovery:
--- a/harness/soak/clients.py
+++ b/harness/soak/clients.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import time
 from dataclasses import dataclass, field
 from random import Random
 
 from laburnumpitch.errors import LaburnumpitchError, TargetError
-from laburnumpitch.transport.http_client import HttpClient
+from laburnumpitch.transport.http_client import HttpAnswer, HttpClient
+from laburnumpitch.transport.http_server import Headers
 
 from .fleet import SoakFleet
 from .operator import (
@@ -36,11 +38,36 @@
 Two probes in a row without a 200 take a node out of rotation.
 """
 
-ROUTES = ("order", "read", "moved", "ask", "resumed")
+RESUMED_ROUTE = "resumed"
+"""Route whose streams go on at another engine on a failure, or when a client takes them
+up at another node."""
+
+STREAMING_ROUTES = ("ask", RESUMED_ROUTE)
+"""Routes to engines."""
+
+ROUTES = ("order", "read", "moved", *STREAMING_ROUTES)
 """Names of the routes that every configuration has."""
 
-STREAMING_ROUTES = ("ask", "resumed")
-"""Routes to engines; streams of `resumed` continue at another engine on a failure."""
+ABORT_SHARE = 0.25
+"""Share of the streams that a client aborts after some events to take them up."""
+
+MAX_ABORT_EVENTS = 2
+"""Largest number of events after which a client aborts a stream."""
+
+MAX_TAKE_UPS = 3
+"""Maximum number of attempts to take up one stream."""
+
+TAKE_UP_DEADLINE_S = 12.0
+"""Time from a stream's first request in which its client takes it up; longer than a
+restart of all nodes."""
+
+LONG_PAUSE_SHARE = 0.4
+"""Share of the attempts to take a stream up before which the client pauses for long."""
+
+MAX_SHORT_PAUSE_S = 0.2
+MAX_LONG_PAUSE_S = 6.0
+
+EVENT_ID_PATTERN = re.compile(rb"^id: (\d+)$", re.MULTILINE)
 
 
 @dataclass
@@ -58,9 +85,14 @@
     introduced_version: int
     """Configuration version that added the route or key it uses; 0 for neither."""
     is_new_connection: bool
+    begun_by: str = ""
+    """Attempt that received the first event of a stream that this one takes up."""
+    after: int = 0
+    """Number of the last event of the stream that earlier attempts received."""
     status: int = 0
-    """HTTP status; 0 without an answer."""
+    """HTTP status; 0 without a complete answer."""
     body: bytes = b""
+    """What was received, also of an incomplete answer."""
     seal: str = ""
     """Value of the answer's `server-seal` header, unique to a run at a target."""
     ended_s: float = float("inf")
@@ -70,6 +102,37 @@
     was_connected: bool = False
     """Whether the request was sent on an open connection."""
 
+    @property
+    def is_take_up(self) -> bool:
+        """Whether it takes up a stream that another attempt began."""
+        return bool(self.begun_by)
+
+    @property
+    def stream(self) -> str:
+        """Attempt that received the first event of the stream, maybe this one."""
+        return self.begun_by or self.attempt
+
+    @property
+    def complete_events(self) -> bytes:
+        """The complete events that were received; an incomplete one is left out."""
+        complete, end, _ = self.body.rpartition(b"\n\n")
+        return complete + end
+
+    @property
+    def goes_on(self) -> bool:
+        """Whether a stream begins or goes on, or is answered as complete."""
+        return self.status == 200 or bool(self.complete_events)
+
+    @property
+    def event_numbers(self) -> list[int]:
+        """Numbers of the complete events that were received."""
+        return [int(n) for n in EVENT_ID_PATTERN.findall(self.complete_events)]
+
+    @property
+    def last_event(self) -> int:
+        """Number of the last event received by this and the earlier attempts."""
+        return max([self.after, *self.event_numbers])
+
 
 @dataclass
 class SoakClients:
@@ -147,44 +210,98 @@
             for client in clients:
                 client.close()
 
-    def make_record(self) -> tuple[RequestRecord, str, str]:
-        """Return a new request's record, path and API key."""
+    def make_record(self) -> tuple[RequestRecord, str]:
+        """Return a new request's record and path."""
         is_new_connection = self.random.random() < 0.5
         host = self.random.choice(self.list_hosts(is_new_connection))
-        node = self.fleet.nodes[host]
         newest = len(self.operator.configuration_changes)
         introduced_version = newest - self.random.randrange(
             VERSIONED_ROUTE_LIFETIME + 1
         )
         uses_versioned_route = introduced_version > 0 and self.random.random() < 0.25
         organisation = self.random.choice(ORGANISATIONS)
-        route, path, key = self.random.choice(ROUTES), "", f"key-{organisation}"
+        route, path = self.random.choice(ROUTES), ""
         if uses_versioned_route:
             route, path = "step", get_versioned_path(introduced_version) + "x"
-            organisation, key = "north", "key-north"
-        elif organisation == ROTATING_KEY_ORGANISATION:
-            introduced_version = max(1, newest)
-            key = get_rotating_key(introduced_version)
+            organisation = "north"
         else:
-            introduced_version = 0
-        process_id = node.popen.pid if node.popen else 0
+            introduced_version = self.get_key_version(organisation)
         record = RequestRecord(
-            f"{self.random.getrandbits(64):016x}",
+            self.make_attempt_id(),
             route,
             organisation,
             host,
-            process_id,
+            self.get_process_id(host),
             time.monotonic(),
             introduced_version,
             is_new_connection,
         )
-        return record, path or f"/{route}/x?q={self.random.randrange(9)}", key
+        return record, path or f"/{route}/x?q={self.random.randrange(9)}"
+
+    def make_attempt_id(self) -> str:
+        """Return the identifier of a new attempt."""
+        return f"{self.random.getrandbits(64):016x}"
+
+    def get_process_id(self, host: str) -> int:
+        """Return the process of a node, or 0 before its start."""
+        popen = self.fleet.nodes[host].popen
+        return popen.pid if popen else 0
+
+    def get_key_version(self, organisation: str) -> int:
+        """Return the configuration version that added a key; 0 if all have it."""
+        if organisation != ROTATING_KEY_ORGANISATION:
+            return 0
+        return max(1, len(self.operator.configuration_changes))
+
+    def get_key(self, record: RequestRecord) -> str:
+        """Return the API key of a request."""
+        if record.organisation == ROTATING_KEY_ORGANISATION:
+            return get_rotating_key(record.introduced_version)
+        return f"key-{record.organisation}"
 
     async def run_request(self) -> None:
+        """Send one request; take its stream up if it breaks and the route allows it."""
+        record, path = self.make_record()
+        await self.run_attempt(record, path)
+        deadline_s = record.sent_s + TAKE_UP_DEADLINE_S
+        for _ in range(MAX_TAKE_UPS):
+            is_over = record.status == 200 or not record.last_event
+            if is_over or record.route != RESUMED_ROUTE:
+                return
+            await asyncio.sleep(self.choose_pause_s())
+            if time.monotonic() > deadline_s:
+                return
+            record = self.make_take_up(record)
+            await self.run_attempt(record, path)
+
+    def choose_pause_s(self) -> float:
+        """Return the time after which a client takes a stream up."""
+        is_long = self.random.random() < LONG_PAUSE_SHARE
+        max_pause_s = MAX_LONG_PAUSE_S if is_long else MAX_SHORT_PAUSE_S
+        return self.random.uniform(0.0, max_pause_s)
+
+    def make_take_up(self, previous: RequestRecord) -> RequestRecord:
+        """Return the record of a request that takes a stream up at another node."""
+        is_new_connection = self.random.random() < 0.5
+        hosts = self.list_hosts(is_new_connection)
+        host = self.random.choice([h for h in hosts if h != previous.host] or hosts)
+        return RequestRecord(
+            self.make_attempt_id(),
+            previous.route,
+            previous.organisation,
+            host,
+            self.get_process_id(host),
+            time.monotonic(),
+            self.get_key_version(previous.organisation),
+            is_new_connection,
+            begun_by=previous.stream,
+            after=previous.last_event,
+        )
+
+    async def run_attempt(self, record: RequestRecord, path: str) -> None:
         """Send one request and record its outcome."""
-        record, path, key = self.make_record()
         self.records.append(record)
-        request_task = asyncio.create_task(self.send(record, path, key))
+        request_task = asyncio.create_task(self.send(record, path))
         disconnects = self.random.random() < DISCONNECT_SHARE
         done, _ = await asyncio.wait(
             {request_task}, timeout=DISCONNECT_AFTER_S if disconnects else None
@@ -203,15 +320,14 @@
         record.is_new_connection = True
         return HttpClient(f"{record.host}:{self.fleet.client_port}")
 
-    async def send(self, record: RequestRecord, path: str, key: str) -> None:
-        """Send a request and read its answer into its record."""
-        client = self.get_client(record)
+    def make_headers(self, record: RequestRecord) -> Headers:
+        """Return the headers of a request."""
         shared_prefixes = (
             f"{self.random.randrange(4):x}:200,{self.random.randrange(40):x}:300"
         )
         headers = [
             ("attempt-id", record.attempt),
-            ("authorization", f"Bearer {key}"),
+            ("authorization", f"Bearer {self.get_key(record)}"),
             ("deadline-ms", str(int(REQUEST_TIMEOUT_S * 1000))),
             ("tenant", "forged"),
             ("cache-salt", "forged"),
@@ -220,24 +336,35 @@
             headers += [
                 ("model", "m"),
                 ("token-usage", "600,40"),
-                ("prefix-hash", f"{shared_prefixes},{record.attempt}:100"),
+                ("prefix-hash", f"{shared_prefixes},{record.stream}:100"),
+            ]
+        if record.is_take_up:
+            headers += [
+                ("resumes", record.begun_by),
+                ("last-event-id", str(record.after)),
             ]
+        return headers
+
+    async def send(self, record: RequestRecord, path: str) -> None:
+        """Send a request and read its answer into its record."""
+        client = self.get_client(record)
         try:
             answer = await client.request(
                 "POST",
                 path,
-                headers,
-                record.attempt.encode(),
+                self.make_headers(record),
+                record.stream.encode(),
                 first_byte_timeout_s=REQUEST_TIMEOUT_S + 2.0,
                 host=HOST,
             )
             record.was_connected = True
             record.seal = dict(answer.headers).get("server-seal", "")
-            parts = [part async for part in answer.iterate_body()]
-            answer.close()
-            record.body = b"".join(parts)
-            record.status = answer.status
-            self.idle_clients[record.host].append(client)
+            await self.read_answer(record, answer)
+            if record.has_disconnected:
+                client.close()
+            else:
+                record.status = answer.status
+                self.idle_clients[record.host].append(client)
         except TargetError as error:
             record.is_interrupted = True
             record.was_connected |= error.sent
@@ -245,3 +372,15 @@
         except asyncio.CancelledError:
             client.close()
             raise
+
+    async def read_answer(self, record: RequestRecord, answer: HttpAnswer) -> None:
+        """Read an answer into its record, or abort a stream after some events."""
+        abort_after = 0
+        if record.route == RESUMED_ROUTE and self.random.random() < ABORT_SHARE:
+            abort_after = self.random.randint(1, MAX_ABORT_EVENTS)
+        async for part in answer.iterate_body():
+            record.body += part
+            if abort_after and len(record.event_numbers) >= abort_after:
+                record.has_disconnected = True
+                break
+        answer.close()
--- a/harness/soak/fault_injector.py
+++ b/harness/soak/fault_injector.py
@@ -17,21 +17,24 @@
 
 from ..fault_proxy import FaultProxy
 from .fleet import SoakFleet
-
-TARGET_DRAIN_S = 2.0
-"""Time for which a leaving target still serves requests."""
+from .releases import SPARE_COUNT, TARGET_DRAIN_S, BuildReleases
 
 MAX_FAULT_S = 4.0
 CATCH_UP_S = 4.0
 """Time from the return of a node with a disk until another one may fail."""
 
+POLL_INTERVAL_S = 0.1
+
+RELEASE = "release"
+"""Name under which a release of a build is affected; one runs at a time."""
+
 
 @dataclass
 class SoakFaultInjector:
     """Injects faults and records their times."""
 
     fleet: SoakFleet
-    targets: list[PlatformTarget]
+    releases: BuildReleases
     proxy: FaultProxy
     random: Random
     node_fault_times_s: dict[str, list[float]] = field(default_factory=dict)
@@ -45,8 +48,17 @@
 
     Only `kill_disk_nodes` affects more than one of them at a time.
     """
+    is_outage_pending: bool = False
+    """Whether all nodes are about to be killed, and no other node fault may begin."""
+    outages: int = 0
+    """Number of times that all nodes were killed at once."""
     tasks: set[asyncio.Task] = field(default_factory=set)
 
+    @property
+    def targets(self) -> list[PlatformTarget]:
+        """The targets in service."""
+        return self.releases.targets
+
     def record_event(self, name: str, host: str = "", is_planned: bool = False) -> None:
         """Record that a fault begins or ends."""
         now_s = time.monotonic()
@@ -64,7 +76,12 @@
             mean_interval_s: Mean time between two faults.
             unplanned_s: Time after which only planned faults are injected.
         """
-        planned_faults = [self.stop_node, self.replace_target, self.change_seeds]
+        planned_faults = [
+            self.stop_node,
+            self.replace_target,
+            self.release_build,
+            self.change_seeds,
+        ]
         all_faults: list[Callable[[], Awaitable[None]]] = [
             self.kill_node,
             self.freeze_node,
@@ -75,6 +92,8 @@
             self.change_seeds,
             self.crash_target,
             self.replace_target,
+            self.release_build,
+            self.release_build,
             self.impair_link,
             self.impair_link,
             self.inject_target_errors,
@@ -112,6 +131,15 @@
         self.affected.add(name)
         return name
 
+    def reserve_node(self, hosts: list[str]) -> str:
+        """Mark a random node without a fault as affected; see `reserve`."""
+        return "" if self.is_outage_pending else self.reserve(hosts)
+
+    async def wait_and_reserve(self, name: str) -> None:
+        """Wait until a name is without a fault, and mark it as affected."""
+        while not self.reserve([name]):
+            await asyncio.sleep(POLL_INTERVAL_S)
+
     def choose_duration_s(self) -> float:
         """Return a random duration of a fault."""
         return self.random.uniform(0.3, MAX_FAULT_S)
@@ -132,19 +160,19 @@
 
     async def kill_node(self) -> None:
         """Kill a node and start it again."""
-        if host := self.reserve(self.fleet.hosts):
+        if host := self.reserve_node(self.fleet.hosts):
             await self.disrupt_node(host, lambda: self.kill_and_restart(host, False))
 
     async def wipe_node(self) -> None:
         """Kill a node with a disk, empty the disk, and start the node again."""
-        if host := self.reserve(self.fleet.hosts[: self.fleet.disk_node_count]):
+        if host := self.reserve_node(self.fleet.hosts[: self.fleet.disk_node_count]):
             await self.disrupt_node(host, lambda: self.kill_and_restart(host, True))
 
     async def replace_node(self) -> None:
         """Kill a node with a disk for good; an empty one at another address follows."""
         if not self.fleet.spare_hosts:
             return
-        if host := self.reserve(self.fleet.hosts[: self.fleet.disk_node_count]):
+        if host := self.reserve_node(self.fleet.hosts[: self.fleet.disk_node_count]):
             await self.disrupt_node(host, lambda: self.kill_and_replace(host))
 
     async def kill_and_replace(self, host: str) -> None:
@@ -166,7 +194,7 @@
 
     async def freeze_node(self) -> None:
         """Suspend a node's process for a while."""
-        if host := self.reserve(self.fleet.hosts):
+        if host := self.reserve_node(self.fleet.hosts):
             await self.disrupt_node(host, lambda: self.freeze_and_thaw(host))
 
     async def freeze_and_thaw(self, host: str) -> None:
@@ -179,7 +207,7 @@
 
     async def stop_node(self) -> None:
         """Stop a node gracefully, as planned work, and start it again."""
-        if host := self.reserve(self.fleet.hosts):
+        if host := self.reserve_node(self.fleet.hosts):
             await self.disrupt_node(host, lambda: self.stop_and_restart(host))
 
     async def stop_and_restart(self, host: str) -> None:
@@ -194,7 +222,8 @@
     async def kill_disk_nodes(self) -> None:
         """Kill all nodes with a disk at once and restart them with their data."""
         hosts = self.fleet.hosts[: self.fleet.disk_node_count]
-        if self.affected & set(hosts) or self.disk_nodes_lock.locked():
+        is_affected = bool(self.affected & set(hosts)) or self.disk_nodes_lock.locked()
+        if is_affected or self.is_outage_pending:
             return
         self.affected |= set(hosts)
         async with self.disk_nodes_lock:
@@ -235,6 +264,37 @@
             await target.start()
             self.affected.discard(target.name)
 
+    async def release_build(self) -> None:
+        """Start a target of a new build, and let one of an old build leave."""
+        if not self.reserve([RELEASE]):
+            return
+        await self.begin_release()
+        await self.restore_spares()
+        self.affected.discard(RELEASE)
+
+    async def begin_release(self) -> None:
+        """Start a target of a new build, or a further one of the newest build."""
+        self.record_release(await self.releases.begin_release())
+
+    def record_release(self, target: PlatformTarget) -> None:
+        """Record that a target of the newest build has started."""
+        self.record_event(f"release {target.name} {target.build}", is_planned=True)
+
+    async def restore_spares(self) -> None:
+        """Start targets or let old ones leave, until the usual number is in service."""
+        while len(self.releases.spares) > SPARE_COUNT:
+            self.record_release(await self.releases.start_target())
+        while len(self.releases.spares) < SPARE_COUNT:
+            old_engines = self.releases.list_old_engines()
+            await self.retire_target(self.random.choice(old_engines))
+
+    async def retire_target(self, target: PlatformTarget) -> None:
+        """Let a target leave for good, once it has no other fault."""
+        await self.wait_and_reserve(target.name)
+        self.record_event(f"retire {target.name} {target.build}", is_planned=True)
+        await self.releases.retire_target(target)
+        self.affected.discard(target.name)
+
     async def inject_target_errors(self) -> None:
         """Let a target answer part of its requests with failures."""
         if target := self.reserve_target():
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -49,14 +49,19 @@
 """Numbers of the incarnations of all targets, which make their ids unique."""
 
 
-def get_event_count(attempt: str) -> int:
-    """Return the number of events in a request's stream, the same at every target."""
-    return 3 + hashlib.blake2b(attempt.encode()).digest()[0] % (EVENT_COUNT_LIMIT - 3)
+def get_event_count(stream: str) -> int:
+    """Return the number of events in a stream, the same at every target.
+
+    Args:
+        stream: Identifier of the attempt that received its first event.
+    """
+    return 3 + hashlib.blake2b(stream.encode()).digest()[0] % (EVENT_COUNT_LIMIT - 3)
 
 
-def make_event(attempt: str, number: int) -> str:
-    """Return a server-sent event of a request's stream."""
-    return f"id: {number}\ndata: {attempt} {number}/{get_event_count(attempt)}\n\n"
+def make_event(stream: str, number: int, build: str) -> str:
+    """Return a server-sent event of a stream, with the build that wrote it."""
+    count = get_event_count(stream)
+    return f"id: {number}\ndata: {stream} {number}/{count} {build}\n\n"
 
 
 @dataclass(frozen=True)
@@ -88,12 +93,23 @@
     token: int
 
 
+@dataclass
+class ServingPeriod:
+    """A time in which a target served and was not leaving, on the monotonic clock."""
+
+    service: str
+    build: str
+    started_s: float
+    ended_s: float = float("inf")
+
+
 @dataclass
 class Journal:
-    """The requests and orders that reached all targets of a run."""
+    """What happened at all targets of a run."""
 
     arrivals: list[Arrival] = field(default_factory=list)
     orders: list[Order] = field(default_factory=list)
+    serving_periods: list[ServingPeriod] = field(default_factory=list)
     context_violations: list[str] = field(default_factory=list)
     """Uses of kept context that was made with other weights or across an isolation."""
 
@@ -167,6 +183,8 @@
         await self.server.start()
         self.port = self.server.port
         self.is_running = True
+        self.serving_period = ServingPeriod(self.service, self.build, time.monotonic())
+        self.journal.serving_periods.append(self.serving_period)
         self.spawn(self.run_heartbeats())
 
     def spawn(self, work) -> None:
@@ -175,8 +193,15 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def end_serving_period(self) -> None:
+        """Record that the target crashes, or begins to leave."""
+        if self.is_running:
+            period = self.serving_period
+            period.ended_s = min(period.ended_s, time.monotonic())
+
     async def crash(self) -> None:
         """Stop at once, and close every connection."""
+        self.end_serving_period()
         self.is_running = False
         for task in list(self.tasks):
             task.cancel()
@@ -186,6 +211,7 @@
 
     async def leave(self, drain_s: float) -> None:
         """Announce draining, serve for `drain_s` and 0.5 s more, deregister, stop."""
+        self.end_serving_period()
         self.is_draining = True
         await self.send_heartbeat()
         await asyncio.sleep(drain_s + 0.5)
@@ -328,16 +354,19 @@
     async def stream_events(
         self, request: HttpRequest, responder: Responder, headers
     ) -> None:
-        """Send the events of a stream that follow the one in `last-event-id`."""
-        attempt = request.get_header("attempt-id")
+        """Send the events of a stream that follow the one in `last-event-id`.
+
+        A request that takes a stream up names the attempt that began it.
+        """
+        stream = request.get_header("resumes") or request.get_header("attempt-id")
         first = int(request.get_header("last-event-id") or 0) + 1
         await responder.start(200, [*headers, ("content-type", "text/event-stream")])
         if self.has_deadly_piece(request):
             self.crash_task = asyncio.create_task(self.crash_and_restart())
             await asyncio.sleep(RESTART_S)
-        for number in range(first, get_event_count(attempt) + 1):
+        for number in range(first, get_event_count(stream) + 1):
             await asyncio.sleep(EVENT_INTERVAL_S * self.random.uniform(0.5, 2.0))
-            await responder.write(make_event(attempt, number).encode())
+            await responder.write(make_event(stream, number, self.build).encode())
         await responder.finish()
 
     def has_deadly_piece(self, request: HttpRequest) -> bool:
--- a/tests/harness/test_soak.py
+++ b/tests/harness/test_soak.py
@@ -12,16 +12,22 @@
 
 from harness.soak import checks
 from harness.soak.__main__ import SoakOptions, run_soak
-from harness.soak.checks import FAULT_RECOVERY_S, SoakHistory, check_all
+from harness.soak.checks import check_all
 from harness.soak.clients import RequestRecord
 from harness.soak.fault_injector import MAX_FAULT_S
-from harness.soak.operator import ConfigurationChange, SoakOperator, WeightVersionChange
+from harness.soak.operator import (
+    ENGINE_SERVICE,
+    ConfigurationChange,
+    SoakOperator,
+    WeightVersionChange,
+)
+from harness.soak.soak_history import FAULT_RECOVERY_S, SoakHistory
+from harness.soak.stream_checks import MIN_TAKE_UPS, make_events
 from standins.platform_target import (
     Arrival,
     Journal,
     Order,
-    get_event_count,
-    make_event,
+    ServingPeriod,
 )
 
 SEED = 4
@@ -43,7 +49,12 @@
         found = [v.violations[0] for v in verdicts if v.violations]
         self.assertEqual([], found, injector.events)
         checked = {verdict.name: verdict.checked for verdict in verdicts}
-        for name in ("runs_are_bounded", "whole_own_answers", "streams_in_order"):
+        for name in (
+            "runs_are_bounded",
+            "whole_own_answers",
+            "streams_in_order",
+            "streams_of_one_build",
+        ):
             self.assertGreater(checked[name], 0, name)
 
 
@@ -94,12 +105,14 @@
     return SoakHistory(**(values | changes))
 
 
-STREAM = "".join(
-    make_event(ATTEMPT_ID, n + 1) for n in range(get_event_count(ATTEMPT_ID))
-)
-TRUNCATED_STREAM = STREAM[: STREAM.rindex("id:")]
+OLD_BUILD, NEW_BUILD = "v1", "v2"
+STREAM = make_events(ATTEMPT_ID, 0, OLD_BUILD)
+TRUNCATED_STREAM = STREAM[: STREAM.rindex(b"id:")]
 """The stream without its last event."""
 
+STREAM_BEGIN = STREAM[: STREAM.index(b"id: 2")]
+"""The first event of the stream."""
+
 OLD_SERVICE_BODY = json.dumps({"attempt": ATTEMPT_ID, "service": "shop-a"}).encode()
 """Answer of a service that the configuration in force no longer gives the route to."""
 
@@ -111,6 +124,26 @@
 }
 
 
+def make_stream(**changes) -> RequestRecord:
+    """Return the record of a stream that broke off after its first event."""
+    values = {"route": "resumed", "status": 0, "body": STREAM_BEGIN}
+    return make_record(**(values | changes))
+
+
+def make_take_up(**changes) -> RequestRecord:
+    """Return the record of an attempt that took the same stream up, to its end."""
+    values = {
+        "attempt": "a2",
+        "route": "resumed",
+        "sent_s": 20.0,
+        "ended_s": 20.1,
+        "begun_by": ATTEMPT_ID,
+        "after": 1,
+        "body": make_events(ATTEMPT_ID, 1, OLD_BUILD),
+    }
+    return make_record(**(values | changes))
+
+
 def make_journal(**changes) -> Journal:
     """Return an empty journal with some fields changed."""
     return replace(Journal(), **changes)
@@ -162,11 +195,71 @@
             {
                 "name": "streams_in_order",
                 "history": make_history(
-                    [make_record(route="ask", body=TRUNCATED_STREAM.encode())],
+                    [make_record(route="ask", body=TRUNCATED_STREAM)],
+                    [make_arrival()],
+                ),
+            },
+        ),
+        (
+            "answer_of_two_builds",
+            {
+                "name": "streams_of_one_build",
+                "history": make_history(
+                    [
+                        make_stream(
+                            body=STREAM_BEGIN + make_events(ATTEMPT_ID, 1, NEW_BUILD)
+                        )
+                    ],
                     [make_arrival()],
                 ),
             },
         ),
+        (
+            "attempts_of_two_builds",
+            {
+                "name": "streams_of_one_build",
+                "history": make_history(
+                    [
+                        make_stream(),
+                        make_take_up(body=make_events(ATTEMPT_ID, 1, NEW_BUILD)),
+                    ],
+                    [make_arrival(), make_arrival(attempt="a2")],
+                ),
+            },
+        ),
+        (
+            "gap_between_attempts",
+            {
+                "name": "streams_of_one_build",
+                "history": make_history(
+                    [
+                        make_stream(),
+                        make_take_up(body=make_events(ATTEMPT_ID, 2, OLD_BUILD)),
+                    ],
+                    [make_arrival(), make_arrival(attempt="a2")],
+                ),
+            },
+        ),
+        (
+            "event_twice_over_attempts",
+            {
+                "name": "streams_of_one_build",
+                "history": make_history(
+                    [make_stream(), make_take_up(status=0, body=STREAM_BEGIN)],
+                    [make_arrival(), make_arrival(attempt="a2")],
+                ),
+            },
+        ),
+        (
+            "taken_up_as_a_new_stream",
+            {
+                "name": "streams_of_one_build",
+                "history": make_history(
+                    [make_stream(), make_take_up(body=make_events("a2", 0, OLD_BUILD))],
+                    [make_arrival(), make_arrival(attempt="a2")],
+                ),
+            },
+        ),
         (
             "wrong_organisation",
             {
@@ -290,8 +383,68 @@
 
     def test_correct_history_has_no_violation(self) -> None:
         """No check reports a violation of a correct history."""
-        history = make_history([make_record()], [make_arrival()])
-        self.assertEqual([], [v for v in check_all(history) if v.violations])
+        histories = [
+            make_history([make_record()], [make_arrival()]),
+            make_history(
+                [make_stream(), make_take_up()],
+                [make_arrival(), make_arrival(attempt="a2")],
+            ),
+        ]
+        for history in histories:
+            self.assertEqual([], [v for v in check_all(history) if v.violations])
+
+
+def make_take_up_history(
+    gone_on: int, take_ups: int, has_target: bool = True, **changes
+) -> SoakHistory:
+    """Return a history in which a number of attempts to take streams up went on."""
+    records = [
+        make_stream(attempt=f"s{n}", body=make_events(f"s{n}", 0, OLD_BUILD))
+        for n in range(take_ups)
+    ]
+    for number in range(take_ups):
+        stream = f"s{number}"
+        refusal = {"status": 503, "body": b"{}", "seal": ""}
+        answer = {"body": make_events(stream, 1, OLD_BUILD)}
+        fields = answer if number < gone_on else refusal
+        records.append(make_take_up(attempt=f"t{number}", begun_by=stream, **fields))
+    ended_s = 30.0 if has_target else 20.05
+    periods = [ServingPeriod(ENGINE_SERVICE, OLD_BUILD, 0.0, ended_s)]
+    return make_history(
+        records, [], journal=Journal(serving_periods=periods), **changes
+    )
+
+
+class TakeUpViolationTest(testtools.TestCase):
+    """Clients take streams up, and a part of them goes on."""
+
+    scenarios = [
+        ("fewer_than_half", {"gone_on": 5, "take_ups": 12, "violations": 1}),
+        ("half", {"gone_on": 6, "take_ups": 12, "violations": 0}),
+        ("too_few", {"gone_on": 0, "take_ups": MIN_TAKE_UPS - 1, "violations": 0}),
+        (
+            "target_leaves",
+            {"gone_on": 0, "take_ups": 12, "violations": 0, "has_target": False},
+        ),
+        (
+            "node_under_a_fault",
+            {"gone_on": 0, "take_ups": 12, "violations": 0, "fault_s": [18.0]},
+        ),
+    ]
+
+    has_target = True
+    fault_s: list[float] = []
+
+    def test_share_is_judged(self) -> None:
+        """A share below half of that of new streams is a violation."""
+        history = make_take_up_history(
+            self.gone_on,
+            self.take_ups,
+            self.has_target,
+            node_fault_times_s={HOST: self.fault_s},
+        )
+        verdict = checks.check_take_ups(history)
+        self.assertEqual(self.violations, len(verdict.violations))
 
 
 class ReadAndWeightViolationTest(testtools.TestCase):
