Change idle timeouts in the soak, and stop nodes amid reloads

What the soak lacked: every configuration had the default idle timeout of 15 s, so no connection was closed as idle and no timeout was raised or lowered.

Change: successive configurations have idle timeouts of 6, 0.4 and 1.5 s. Clients reuse connections that were idle for up to four fifths of the shortest timeout in force; they still use them until the node's process is gone. The first planned fault after the unplanned ones is a stop of a node, and half the stops are accompanied by new seeds and SIGHUP to half of the nodes.

--- a/harness/soak/checks.py
+++ b/harness/soak/checks.py
@@ -4,18 +4,18 @@
 
 import json
 from collections import Counter, defaultdict
-from collections.abc import Iterable
 
 from standins.platform_target import Arrival, Journal
 
 from ..history import Verdict
-from .clients import STREAMING_ROUTES, RequestRecord
+from .clients import STREAMING_ROUTES
 from .operator import (
     PLAIN_SERVICES,
     VERSIONED_ROUTE_LIFETIME,
-    ConfigurationChange,
     SoakOperator,
+    list_versions_in_force,
 )
+from .request_record import RequestRecord
 from .soak_history import FAULT_RECOVERY_S, SoakHistory
 from .stream_checks import check_builds, check_streams, check_take_ups
 
@@ -25,9 +25,6 @@
 MAX_DRAIN_S = 2.0
 """Time after the acknowledgement of its leaving in which a target may get requests."""
 
-CONFIGURATION_DELAY_S = 2.0
-"""Time from a configuration's acknowledgement until all nodes must apply it."""
-
 HOLDER_CHANGE_MIN_S = 3.0
 """Shortest time between orders of two different lease holders."""
 
@@ -148,20 +145,6 @@
     return verdict
 
 
-def list_versions_in_force(
-    changes: Iterable[ConfigurationChange], at_s: float
-) -> list[int]:
-    """Return the configuration versions that a node may apply at a time."""
-    oldest = 0
-    allowed = []
-    for change in changes:
-        if change.acknowledged_s + CONFIGURATION_DELAY_S < at_s:
-            oldest = max(oldest, change.version)
-        if change.sent_s <= at_s:
-            allowed.append(change.version)
-    return [version for version in allowed if version >= oldest]
-
-
 def check_configuration(
     history: SoakHistory, runs: dict[str, list[Arrival]]
 ) -> Verdict:
--- a/harness/soak/clients.py
+++ b/harness/soak/clients.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import re
 import time
 from dataclasses import dataclass, field
 from random import Random
@@ -19,9 +18,12 @@
     ROTATING_KEY_ORGANISATION,
     VERSIONED_ROUTE_LIFETIME,
     SoakOperator,
+    get_idle_timeout_s,
     get_rotating_key,
     get_versioned_path,
+    list_versions_in_force,
 )
+from .request_record import RequestRecord
 
 REQUEST_TIMEOUT_S = 3.0
 """Deadline that a client sends with a request."""
@@ -54,6 +56,9 @@
 MAX_ABORT_EVENTS = 2
 """Largest number of events after which a client aborts a stream."""
 
+MAX_IDLE_SHARE = 0.8
+"""Share of the idle timeout after which a client no longer reuses a connection."""
+
 MAX_TAKE_UPS = 3
 """Maximum number of attempts to take up one stream."""
 
@@ -67,72 +72,6 @@
 MAX_SHORT_PAUSE_S = 0.2
 MAX_LONG_PAUSE_S = 6.0
 
-EVENT_ID_PATTERN = re.compile(rb"^id: (\d+)$", re.MULTILINE)
-
-
-@dataclass
-class RequestRecord:
-    """One request of a client and its outcome."""
-
-    attempt: str
-    """Unique identifier, which targets record with each arrival."""
-    route: str
-    organisation: str
-    host: str
-    process_id: int
-    """Process of the node when the request was sent."""
-    sent_s: float
-    introduced_version: int
-    """Configuration version that added the route or key it uses; 0 for neither."""
-    is_new_connection: bool
-    begun_by: str = ""
-    """Attempt that received the first event of a stream that this one takes up."""
-    after: int = 0
-    """Number of the last event of the stream that earlier attempts received."""
-    status: int = 0
-    """HTTP status; 0 without a complete answer."""
-    body: bytes = b""
-    """What was received, also of an incomplete answer."""
-    seal: str = ""
-    """Value of the answer's `server-seal` header, unique to a run at a target."""
-    ended_s: float = float("inf")
-    has_disconnected: bool = False
-    is_interrupted: bool = False
-    """Whether the connection ended before a complete answer."""
-    was_connected: bool = False
-    """Whether the request was sent on an open connection."""
-
-    @property
-    def is_take_up(self) -> bool:
-        """Whether it takes up a stream that another attempt began."""
-        return bool(self.begun_by)
-
-    @property
-    def stream(self) -> str:
-        """Attempt that received the first event of the stream, maybe this one."""
-        return self.begun_by or self.attempt
-
-    @property
-    def complete_events(self) -> bytes:
-        """The complete events that were received; an incomplete one is left out."""
-        complete, end, _ = self.body.rpartition(b"\n\n")
-        return complete + end
-
-    @property
-    def goes_on(self) -> bool:
-        """Whether a stream begins or goes on, or is answered as complete."""
-        return self.status == 200 or bool(self.complete_events)
-
-    @property
-    def event_numbers(self) -> list[int]:
-        """Numbers of the complete events that were received."""
-        return [int(n) for n in EVENT_ID_PATTERN.findall(self.complete_events)]
-
-    @property
-    def last_event(self) -> int:
-        """Number of the last event received by this and the earlier attempts."""
-        return max([self.after, *self.event_numbers])
-
 
 @dataclass
 class SoakClients:
@@ -320,6 +259,16 @@
         record.is_new_connection = True
         return HttpClient(f"{record.host}:{self.fleet.client_port}")
 
+    def get_max_idle_s(self) -> float:
+        """Return how long a connection may be idle before a client reuses it.
+
+        Each node may still apply any configuration that is in force.
+        """
+        versions = list_versions_in_force(
+            self.operator.configuration_changes, time.monotonic()
+        )
+        return MAX_IDLE_SHARE * min(map(get_idle_timeout_s, versions))
+
     def make_headers(self, record: RequestRecord) -> Headers:
         """Return the headers of a request."""
         shared_prefixes = (
@@ -355,6 +304,7 @@
                 self.make_headers(record),
                 record.stream.encode(),
                 first_byte_timeout_s=REQUEST_TIMEOUT_S + 2.0,
+                max_idle_s=self.get_max_idle_s(),
                 host=HOST,
             )
             record.was_connected = True
--- a/harness/soak/fault_injector.py
+++ b/harness/soak/fault_injector.py
@@ -25,6 +25,9 @@
 
 POLL_INTERVAL_S = 0.1
 
+MAX_RELOAD_DELAY_S = 0.5
+"""Longest time from the stop of a node to a reload of the settings."""
+
 RELEASE = "release"
 """Name under which a release of a build is affected; one runs at a time."""
 
@@ -106,10 +109,16 @@
             inject_fault = self.random.choice(
                 planned_faults if is_planned else all_faults
             )
+            if is_planned and not self.has_stopped_node(planned_from_s):
+                inject_fault = self.stop_node
             task = asyncio.create_task(inject_fault())
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
+    def has_stopped_node(self, since_s: float) -> bool:
+        """Whether a node was stopped as planned work since a time."""
+        return any(max(t) > since_s for t in self.planned_stop_times_s.values())
+
     async def finish(self) -> None:
         """Wait until every fault has ended, and restore all links."""
         while self.tasks:
@@ -211,11 +220,15 @@
             await self.disrupt_node(host, lambda: self.stop_and_restart(host))
 
     async def stop_and_restart(self, host: str) -> None:
-        """Stop a node gracefully and start it again."""
+        """Stop a node gracefully, at times amid reloads, and start it again."""
         self.planned_stop_times_s.setdefault(host, []).append(time.monotonic())
         self.record_event("stop", host, is_planned=True)
         node = self.fleet.nodes[host]
-        await asyncio.to_thread(node.stop)
+        stopping = asyncio.create_task(asyncio.to_thread(node.stop))
+        if self.random.random() < 0.5:
+            await asyncio.sleep(self.random.uniform(0.0, MAX_RELOAD_DELAY_S))
+            await self.change_seeds()
+        await stopping
         self.fleet.restart(host)
         self.record_event("restart", host, is_planned=True)
 
--- a/harness/soak/operator.py
+++ b/harness/soak/operator.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import time
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from random import Random
 
@@ -24,9 +25,15 @@
 CALL_TIMEOUT_S = 1.5
 """Time to the first byte of an answer."""
 
+CONFIGURATION_DELAY_S = 2.0
+"""Time from a configuration's acknowledgement until all nodes must apply it."""
+
 VERSIONED_ROUTE_LIFETIME = 2
 """Number of configurations in a row that have a version's own route and key."""
 
+IDLE_TIMEOUTS_MS = (6000, 400, 1500)
+"""Time after which a client's idle connection is closed, by configuration version."""
+
 MODEL = "m"
 PLAIN_SERVICES = ("shop-a", "shop-b")
 ENGINE_SERVICE = "models"
@@ -41,6 +48,20 @@
     acknowledged_s: float = float("inf")
 
 
+def list_versions_in_force(
+    changes: Iterable[ConfigurationChange], at_s: float
+) -> list[int]:
+    """Return the configuration versions that a node may apply at a time."""
+    oldest = 0
+    allowed = []
+    for change in changes:
+        if change.acknowledged_s + CONFIGURATION_DELAY_S < at_s:
+            oldest = max(oldest, change.version)
+        if change.sent_s <= at_s:
+            allowed.append(change.version)
+    return [version for version in allowed if version >= oldest]
+
+
 @dataclass
 class WeightVersionChange:
     """A weight version that was set for the model."""
@@ -60,6 +81,11 @@
     return f"key-{ROTATING_KEY_ORGANISATION}-{version}"
 
 
+def get_idle_timeout_s(version: int) -> float:
+    """Return the idle timeout of a configuration version."""
+    return IDLE_TIMEOUTS_MS[version % len(IDLE_TIMEOUTS_MS)] / 1000
+
+
 def make_route(name: str, kind: str, service: str, **changes) -> dict:
     """Return a route with the path prefix `/NAME/`."""
     return {
@@ -79,7 +105,8 @@
     """Return the configuration of a version.
 
     Each version moves the route `moved` to the other service, adds a route and a
-    key of its own, and removes the oldest such route and key.
+    key of its own, removes the oldest such route and key, and raises or lowers the
+    idle timeout.
     """
     active_versions = range(max(1, version - VERSIONED_ROUTE_LIFETIME + 1), version + 1)
     context = {"sticky": True, "gap_target_ms": 300}
@@ -114,6 +141,7 @@
             {"name": ENGINE_SERVICE, "engine": {**engine, "models": [{"name": MODEL}]}},
         ],
         "tenants": tenants,
+        "limits": {"idle_timeout_ms": get_idle_timeout_s(version) * 1000},
     }
 
 
--- a/harness/soak/soak_history.py
+++ b/harness/soak/soak_history.py
@@ -6,8 +6,8 @@
 
 from standins.platform_target import Journal
 
-from .clients import RequestRecord
 from .operator import ENGINE_SERVICE, SoakOperator
+from .request_record import RequestRecord
 
 FAULT_RECOVERY_S = 3.0
 """Time after a fault in which a node is exempt from the checks of delays."""
--- a/harness/soak/stream_checks.py
+++ b/harness/soak/stream_checks.py
@@ -9,7 +9,8 @@
 from standins.platform_target import get_event_count, make_event
 
 from ..history import Verdict
-from .clients import RESUMED_ROUTE, STREAMING_ROUTES, RequestRecord
+from .clients import RESUMED_ROUTE, STREAMING_ROUTES
+from .request_record import RequestRecord
 from .soak_history import SoakHistory
 
 MIN_TAKE_UPS = 12
--- a/tests/harness/test_soak.py
+++ b/tests/harness/test_soak.py
@@ -13,7 +13,6 @@
 from harness.soak import checks
 from harness.soak.__main__ import SoakOptions, run_soak
 from harness.soak.checks import check_all
-from harness.soak.clients import RequestRecord
 from harness.soak.fault_injector import MAX_FAULT_S
 from harness.soak.operator import (
     ENGINE_SERVICE,
@@ -21,6 +20,7 @@
     SoakOperator,
     WeightVersionChange,
 )
+from harness.soak.request_record import RequestRecord
 from harness.soak.soak_history import FAULT_RECOVERY_S, SoakHistory
 from harness.soak.stream_checks import MIN_TAKE_UPS, make_events
 from standins.platform_target import (
