Go on with a node's broken stream only at an engine of the same build

What callers saw: with `laburnumpitch node`, a streamed completion whose engine died went on at any engine of the same weight version, also at one with other software. The answer was reported as complete, and nothing in it showed that two versions of the engine had written it.

Cause: an engine's announcement had no software version, so the selector could not tell engines apart after a part of the answer was delivered. Ruled out: the weight version, which was compared, and the offset of the tokens, which fits at either engine.

Change: `TargetInfo` has an optional `build`, empty by default, so that engines without one go on as before, among themselves. Once a caller has received a part of the answer, the selector takes only targets of the build that was selected for that part; it compares again after planning, in which a target may have restarted. The stand-in engine announces `--build`.

Evidence: JoinedStreamTest kills the engine of a stream. With the announcement but without the change of the selector, other_build and one_build_announced fail (the answer is complete, 200 tokens), same_build and no_build_announced pass; with it, 4 of 4 pass, in 2 of 2 runs. The test now starts each engine once.

Not covered, for that reason: a request names no incarnation, so one that reaches an engine restarted with other software is counted under the build of the earlier incarnation. Resumed trials check the incarnation, other attempts do not.

--- a/src/laburnumpitch/entry/engine_selector.py
+++ b/src/laburnumpitch/entry/engine_selector.py
@@ -45,6 +45,8 @@
         self.failed_target_ids: set[str] = set()
         self.weight_version = model.weight_version
         """Weight version of the last selected engine; a stream keeps its version."""
+        self.build = ""
+        """Software version of the last selected engine; a stream keeps it, too."""
         self.pieces_by_version: dict[str, PromptPieces] = {}
         """The prompt's pieces by weight version, which is part of their names."""
 
@@ -97,9 +99,11 @@
                     plans.append((plan.predicted_first_token_s, version, plan))
             if plans:
                 _, self.weight_version, plan = min(plans, key=lambda item: item[0])
-                targets = self.services.session.view.targets.items
-                if plan.target_id in targets:
-                    return plan, targets[plan.target_id]
+                target = self.services.session.view.targets.items.get(plan.target_id)
+                # The target may have restarted since it was planned for.
+                if target is not None and self.has_allowed_build(target, has_streamed):
+                    self.build = target.build
+                    return plan, target
             elif time.monotonic() >= deadline_s:
                 if is_retry:
                     raise DeadlineExceededError("no target for another attempt")
@@ -111,8 +115,9 @@
     ) -> dict[str, list[TargetInfo]]:
         """Return the eligible targets by weight version.
 
-        During a rollout a pool serves two versions. A new request may use either;
-        once the caller has received a part of the answer, the version is fixed.
+        During a rollout a pool serves two versions, of weights or of software. A new
+        request may use either; once the caller has received a part of the answer, both
+        versions are fixed.
         """
         loads = self.services.session.view.loads
         groups: dict[str, list[TargetInfo]] = {}
@@ -122,9 +127,15 @@
                 continue
             if has_streamed and load.weight_version != self.weight_version:
                 continue
+            if not self.has_allowed_build(target, has_streamed):
+                continue
             groups.setdefault(load.weight_version, []).append(target)
         return groups
 
+    def has_allowed_build(self, target: TargetInfo, has_streamed: bool) -> bool:
+        """Whether a target may begin the answer, or go on with what was streamed."""
+        return not has_streamed or target.build == self.build
+
     async def plan_for_version(
         self, version: str, targets: list[TargetInfo]
     ) -> Plan | None:
--- a/src/laburnumpitch/membership/messages.py
+++ b/src/laburnumpitch/membership/messages.py
@@ -48,6 +48,8 @@
     prefill_tokens_per_s: float = 0.0
     link_bytes_per_s: float = 0.0
     kv_bytes_per_token: int = 0
+    build: str = ""
+    """Version of the target's software; empty if it announces none."""
 
 
 class TargetLoad(Message):
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -456,6 +456,7 @@
         slots=arguments.slots,
         prefill_tokens_per_s=arguments.prefill_tokens_per_s,
         kv_bytes_per_token=arguments.block_bytes // piece_tokens,
+        build=arguments.build,
     )
     announcer = Announcer(
         target,
@@ -489,6 +490,7 @@
     parser.add_argument("--block-bytes", type=int, default=65536)
     parser.add_argument("--weight-version", default="v1")
     parser.add_argument("--weight-store", default="")
+    parser.add_argument("--build", default="")
     parser.add_argument("--event-delay-s", type=float, default=0.1)
     parser.add_argument("--event-gap-share", type=float, default=0.02)
     parser.add_argument("--ignore-fences", action="store_true")
--- a/tests/integration/test_engines.py
+++ b/tests/integration/test_engines.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import re
 from dataclasses import replace
 
 import msgspec
@@ -21,6 +22,10 @@
 
 TAKEOVER_S = 3.0
 
+STREAM_TOKENS = 200
+STREAM_DEADLINE_MS = 6000
+"""Time in which a broken stream waits for an engine; longer than the whole stream."""
+
 
 class BrokenStreamTest(ClusterCase):
     """Engines are killed and their connections reset while streams run."""
@@ -84,6 +89,58 @@
         wait_for(is_cleared, 30, "suspects to be cleared", 0.1)
 
 
+class JoinedStreamTest(ClusterCase):
+    """An engine dies amid a stream while the other one has another software version."""
+
+    deployment = replace(PARAFINA, engines=0, services=0, stores=0, token_s=0.02)
+
+    scenarios = [
+        ("other_build", {"builds": ("b1", "b2"), "goes_on": False}),
+        ("same_build", {"builds": ("b1", "b1"), "goes_on": True}),
+        ("no_build_announced", {"builds": ("", ""), "goes_on": True}),
+        ("one_build_announced", {"builds": ("b1", ""), "goes_on": False}),
+    ]
+
+    def test_stream_keeps_its_build(self) -> None:
+        """The stream goes on only at an engine of the build that began it."""
+        cluster = self.start_cluster()
+        for index, build in enumerate(self.builds):
+            cluster.options.engine_arguments = ["--build", build]
+            cluster.add_engine(index)
+        self.deployment = replace(self.deployment, engines=len(self.builds))
+        self.wait_for_version(cluster, "v1")
+
+        async def scenario():
+            caller = self.make_caller()
+            request = asyncio.create_task(
+                caller.send_completion(
+                    cluster.http_addresses[cluster.entries[0]],
+                    make_prompt_text("joined", 300),
+                    STREAM_TOKENS,
+                    STREAM_DEADLINE_MS,
+                )
+            )
+            victim = await asyncio.to_thread(self.find_streaming_engine, cluster)
+            await asyncio.to_thread(cluster.processes[victim].kill)
+            return await request
+
+        answer = self.run_async(scenario())
+        self.assertEqual(200, answer.status)
+        self.assertEqual(self.goes_on, answer.is_complete, answer)
+        if not self.goes_on:
+            self.assertNotEqual("", answer.text)
+
+    def find_streaming_engine(self, cluster: Cluster) -> str:
+        """Wait until an entry has passed on a token, and return its engine."""
+
+        def read_logs() -> str:
+            return "".join(path.read_text() for path in cluster.get_log_files())
+
+        wait_for(lambda: "event=first_token" in read_logs(), 30, "the first token")
+        dispatched = re.search(r"event=dispatched .*target=(\S+)", read_logs())
+        return dispatched[1]
+
+
 class PoisonTest(ClusterCase):
     """A request that crashes engines is sent through every entry node."""
 
