Release the connection of an answer only once

What callers saw: a 502, or a stream cut in its middle, for a request whose target went on; and a new connection to the target for every answer that is no stream.

Cause: HttpAnswer.read releases the connection, and RelayRun.send releases it again in the end. In between, a client that reads slowly may take its time, and another request takes the idle connection. The second release finds it in use and closes it. Without another request, the second release finds it idle, in a new cycle, and closes it too.

Ruled out: dropping one of the two calls. RelayRun needs its own for answers that were not read to their end, and read its own for the other callers.

Change: close has an effect only once.

A test target changes too. PacedAnswer slept after the last part as well, so that the target read the next request on the connection only after the pause. The pause is now between the parts only; what the test checks is unchanged.

--- a/src/laburnumpitch/transport/http_client.py
+++ b/src/laburnumpitch/transport/http_client.py
@@ -94,6 +94,7 @@
         self.gap_timeout_s = gap_timeout_s
         self.deadline_s = deadline_s
         self.is_complete = False
+        self.is_closed = False
         self.is_first = connection.answer_count == 1
         """Whether no other request was sent on the connection before."""
 
@@ -155,7 +156,13 @@
         self.connection.extend_deadline = None
 
     def close(self) -> None:
-        """Release the connection; it is reused only if the answer is complete."""
+        """Release the connection; it is reused only if the answer is complete.
+
+        Only the first call has an effect: another request may use the connection then.
+        """
+        if self.is_closed:
+            return
+        self.is_closed = True
         self.client.release_connection(self.connection, self.is_complete)
 
 
--- a/tests/relay/relay_case.py
+++ b/tests/relay/relay_case.py
@@ -50,7 +50,7 @@
 
 @dataclass(frozen=True)
 class PacedAnswer:
-    """An answer whose parts follow each other after a pause."""
+    """An answer with a pause before each part but the first."""
 
     parts: tuple[bytes, ...]
     pause_s: float
@@ -164,9 +164,10 @@
                         writer.write(part)
                         await writer.drain()
                 if isinstance(script, PacedAnswer):
-                    for part in script.parts:
-                        writer.write(part)
+                    writer.write(script.parts[0])
+                    for part in script.parts[1:]:
                         await asyncio.sleep(script.pause_s)
+                        writer.write(part)
                     continue
                 writer.write(script)
                 if not is_framed(script):
