Send a rejected request on a new connection

What callers saw: 503 with "not run" for a request that a target ran, where two targets share an address and the first one's rejection comes twice.

Cause: a rejection that names the attempt is believed on any connection. After one target rejected the attempt, the next one is sent the same attempt. If it has the same address (a target replaced by another one), the kept connection is reused, and the copy of the first rejection is its answer.

Ruled out: telling the copies apart by the target's identifier, which only some rejections carry.

Change: once a target has rejected the request or was unreachable, this run opens new connections. A copy can come on the old connection only.

--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -157,6 +157,7 @@
                 self.admitted,
                 resume_after=self.stream.last_event_id,
                 is_retry_allowed=self.is_retry_allowed(),
+                is_rejected=self.rejections > 0,
             )
             await self.handle_answer(target, answer)
             ended_s = services.get_time_s()
--- a/src/laburnumpitch/relay/target_sender.py
+++ b/src/laburnumpitch/relay/target_sender.py
@@ -42,6 +42,7 @@
         *,
         resume_after: str,
         is_retry_allowed: bool,
+        is_rejected: bool,
     ) -> HttpAnswer:
         """Write the request and return the answer once its headers have arrived.
 
@@ -50,6 +51,9 @@
             admitted: The request.
             resume_after: Event after which to resume a stream.
             is_retry_allowed: Whether the request may run again.
+            is_rejected: Whether a target rejected this attempt. A copy of the rejection
+                may come on that target's connection, and another target may have the
+                same address, so a new connection is opened.
 
         Raises:
             TargetError: If no answer arrived.
@@ -61,8 +65,8 @@
         headers = services.translator.make_headers(admitted, target_request)
         is_probe = services.statistics.is_possibly_unreachable(target)
         max_idle_s = MAX_IDLE_NON_RETRYABLE_S
-        if is_probe:
-            # A new connection fails soon if the target is unreachable.
+        if is_probe or is_rejected:
+            # A new connection also fails soon if the target is unreachable.
             max_idle_s = 0.0
         elif is_retry_allowed:
             max_idle_s = MAX_IDLE_RETRYABLE_S
--- a/tests/relay/relay_case.py
+++ b/tests/relay/relay_case.py
@@ -63,9 +63,16 @@
     beginning: bytes = b""
 
 
-Script = bytes | EndlessAnswer | PacedAnswer | Crash | None
-"""Bytes of an answer, an answer without end or with pauses, a crash, or None for no
-answer."""
+@dataclass(frozen=True)
+class RepeatedAnswer:
+    """An answer that comes again before the next one on its connection."""
+
+    answer: bytes
+
+
+Script = bytes | EndlessAnswer | PacedAnswer | RepeatedAnswer | Crash | None
+"""Bytes of an answer, an answer without end, with pauses or with a copy, a crash, or
+None for no answer."""
 
 
 def make_route(name: str, kind: str, **changes) -> Route:
@@ -142,6 +149,7 @@
     async def serve(self, reader, writer) -> None:
         """Answer the requests of one connection."""
         self.connections += 1
+        copy = b""
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -152,6 +160,10 @@
                 body = await reader.readexactly(length)
                 self.requests.append(head + body)
                 script = self.scripts.pop(0) if self.scripts else None
+                writer.write(copy)
+                copy = b""
+                if isinstance(script, RepeatedAnswer):
+                    script = copy = script.answer
                 if script is None:
                     await reader.read()
                     return
--- a/tests/relay/test_repeated_refusals.py
+++ b/tests/relay/test_repeated_refusals.py
@@ -5,8 +5,9 @@
 import asyncio
 
 import testscenarios
+from msgspec.structs import replace as replace_record
 
-from .relay_case import PacedAnswer, RelayCase, make_answer
+from .relay_case import PacedAnswer, RelayCase, RepeatedAnswer, make_answer
 
 EVENTS = b"id: 1\ndata: a\n\n"
 """A body that is whole on every route."""
@@ -158,3 +159,32 @@
         scripts = [first, refusal] if self.is_kept else [refusal]
         second = make_answer(body=EVENTS, request_id="second")
         self.run_relay([scripts, [second]], scenario)
+
+
+class SharedAddressTest(RepeatedRefusalCase):
+    """Two targets at one address; the refusal of the first one comes again."""
+
+    scenarios = testscenarios.multiply_scenarios(
+        ROUTES[:2],
+        STATUSES[:3],
+        [("new_connection", {"is_kept": False}), ("kept", {"is_kept": True})],
+    )
+
+    def test_not_believed(self) -> None:
+        """The second target gets the request on a connection without a refusal."""
+
+        async def scenario() -> None:
+            table = self.fleet_view.targets
+            first = next(r for r in table.get_records() if r.target_id == "t0")
+            table.put(replace_record(first, target_id="t1"), 0.0)
+            self.services.dispatcher.on_fleet_change()
+            if self.is_kept:
+                await self.send_first()
+            self.assertEqual((200, EVENTS), await self.send_second())
+            self.assertEqual([2 + self.is_kept, 0], self.count_requests())
+            self.assertEqual(2, self.targets[0].connections)
+
+        scripts = [make_answer(body=EVENTS, request_id="first")] if self.is_kept else []
+        refusal = RepeatedAnswer(make_refusal(self.status, "second"))
+        second = make_answer(body=EVENTS, request_id="second")
+        self.run_relay([[*scripts, refusal, second], []], scenario)
