Keep a reserved target only while it may run the request

What callers saw: a stream joined from the events of two builds; and 502 for a request whose target went on, after the reservation of another one had gone stale.

Cause: a reservation is made while a target is silent. RelayRun.acquire took it without a check of the build, which may have been bound since (a comment began the stream, then the connection broke). AnswerDeadlines.extend ended a later silence at once for a reservation made in an earlier one, even if the retry budget was spent by then, or the target was gone, replaced or unreachable.

Ruled out: a check in the dispatcher, which does not know of reservations.

Change: a reserved target is taken, or waited out for, only if it is listed, eligible (with the build bound by now) and reachable; extend also asks again whether the request may run elsewhere. Else it is released. It is released too when the head arrives; an event released it before.

--- a/src/laburnumpitch/relay/answer_deadlines.py
+++ b/src/laburnumpitch/relay/answer_deadlines.py
@@ -92,11 +92,10 @@
         It has passed if the request has to leave the target.
         """
         now_s = self.services.get_time_s()
-        if self.reserved is not None:
-            if self.get_build() in ("", self.reserved.target.build):
-                return now_s
-            # A build began the stream after the reservation.
-            self.release_reserved()
+        if self.find_reserved_target() is not None and self.can_run_elsewhere():
+            return now_s
+        # The reservation is of an earlier silence, and the fleet has changed since.
+        self.release_reserved()
         if now_s >= self.next_attempt_s:
             self.next_attempt_s = now_s + RECHECK_INTERVAL_S
             if await self.try_reserve():
@@ -149,13 +148,38 @@
             self.services.statistics.record_failure(self.target, True)
             self.services.report_unreachable(self.target)
 
+    def find_reserved_target(self) -> TargetRecord | None:
+        """Return the record in force of the reserved target.
+
+        None if there is none, or if it may not run the request any more, for example
+        because another build has begun the stream.
+        """
+        if self.reserved is None:
+            return None
+        dispatcher, admitted = self.services.dispatcher, self.reserved.admitted
+        target = dispatcher.catalog.find_target(
+            admitted.service, self.reserved.target.target_id
+        )
+        if target is None or self.services.statistics.is_possibly_unreachable(target):
+            return None
+        call = dispatcher.make_place_call(admitted, self.excluded, self.get_build())
+        return target if dispatcher.catalog.is_eligible(target, call) else None
+
     def take_reserved(self) -> ReservedTarget | None:
-        """Return the reserved target, if there is one, and leave it to the caller."""
-        reserved, self.reserved = self.reserved, None
-        return reserved
+        """Return the reserved target and leave it to the caller.
+
+        It is released if it may not run the request any more. Whether the request may
+        run again is not checked.
+        """
+        target = self.find_reserved_target()
+        if target is None:
+            self.release_reserved()
+            return None
+        admitted, self.reserved = self.reserved.admitted, None
+        return ReservedTarget(target, admitted)
 
     def release_reserved(self) -> None:
         """Release the reserved target, if there is one."""
-        reserved = self.take_reserved()
+        reserved, self.reserved = self.reserved, None
         if reserved is not None:
             self.services.dispatcher.release_unused(reserved.target, reserved.admitted)
--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -185,6 +185,7 @@
             TargetError: If the answer may not be delivered.
         """
         services = self.services
+        self.deadlines.release_reserved()
         metadata = services.translator.read_answer(answer.status, answer.headers)
         answer.deadline_s = self.deadlines.choose_deadline_s(
             get_start_timeout_s(self.route)
