Wait for the connection that a draining node accepted last

What callers saw: a request on a connection that a stopping node had just accepted was cut without an answer.

Cause: FleetNode.drain looked at the connections' tasks in the pass of the event loop in which it stopped accepting. asyncio starts the task of an accepted connection some passes after it. With no task yet, drain ended at once, and the server's close cancelled the task.

Ruled out: a count of passes, which depends on asyncio's inner steps. A client whose connection the kernel has and the process has not accepted is still reset when the listening socket closes; this change does not mend that.

Change: drain waits one poll interval before it looks for the first time.

Evidence: LastConnectionTest (a connection accepted 0 to 5 passes before the drain) without the change: pass_0 fails with an empty answer, 5 passed, in 4 runs of 4; with it 6 passed, in 4 runs of 4.

--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -323,6 +323,8 @@
         self.client_server.stop_accepting()
         # Clients may go on to use their open connections.
         self.relay.api.closes_at_s = deadline_s
+        # A connection that was accepted last has no task in this pass of the loop.
+        await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         while self.client_server.connection_tasks and time.monotonic() < deadline_s:
             await self.client_server.close_idle()
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
