Send no new requests to targets that say they are leaving

A target that leaves says so in all its answers (`Server-Leaving: 1`), maybe before any announcement reaches this node. Nothing read the header: callers' requests went on to the target until its announcement came, and past the time in which it still serves if none came.

Ruled out: reading it into `is_leaving` alone. An announcement `ready` of the same incarnation, sent before, and a leader out of reach would undo or miss it; and all nodes would drop the last targets of a service at once.

The node keeps the statement by incarnation (relay/leaving_targets.py) and the catalog leaves the target out, so that the dispatcher, the queue, reserved targets, retries, streams that go on and a coordinator's placements all see it. The leader gets a notice and marks the record in a field of its own, `has_said_leaving`. Reports and orders of engines are read too. An answer of another instance counts for nothing.

Not read: answers of stores to events and listings, which have no record among the targets. The rollout controller still counts such an engine until it announces that it leaves.

--- a/src/laburnumpitch/fleet/fleet_publisher.py
+++ b/src/laburnumpitch/fleet/fleet_publisher.py
@@ -24,6 +24,7 @@
     NodeRecord,
     PiecesCompleted,
     TargetDied,
+    TargetLeaving,
     TargetUnreachable,
 )
 from .quarantine import Quarantine
@@ -273,6 +274,16 @@
             )
             self.notify_change()
 
+    def handle_target_leaving(self, notice: TargetLeaving) -> None:
+        """Mark a target's incarnation that said in an answer that it is leaving."""
+        self.check_term()
+        entry = self.targets.entries.get(notice.target_id)
+        if entry is None or entry.record.born_ms != notice.born_ms:
+            return
+        if self.targets.update(notice.target_id, has_said_leaving=True):
+            self.log.info("target_said_leaving", target=notice.target_id)
+            self.notify_change()
+
     def update_assignments(self) -> None:
         """Assign stores and coordinators to reachable nodes that have a disk.
 
--- a/src/laburnumpitch/fleet/leader_service.py
+++ b/src/laburnumpitch/fleet/leader_service.py
@@ -35,6 +35,7 @@
     StoreConfiguration,
     StoreWeights,
     TargetDied,
+    TargetLeaving,
     TargetRecord,
     TargetUnreachable,
 )
@@ -83,6 +84,7 @@
         server.on(TargetDied, self.on_target_died)
         server.on(PiecesCompleted, self.on_pieces_completed)
         server.on(TargetUnreachable, self.on_target_unreachable)
+        server.on(TargetLeaving, self.on_target_leaving)
         server.on(JoinCore, self.on_join_core)
 
     def require_leader_state(self) -> tuple[Replica, FleetPublisher]:
@@ -129,6 +131,11 @@
         _, publisher = self.require_leader_state()
         publisher.handle_target_unreachable(notice)
 
+    async def on_target_leaving(self, notice: TargetLeaving) -> None:
+        """Handle a node's notice that a target said that it is leaving."""
+        _, publisher = self.require_leader_state()
+        publisher.handle_target_leaving(notice)
+
     async def on_announce(self, call: Announce) -> AnnounceAnswer:
         """Apply an announcement; answer once every reachable node has the change."""
         replica, publisher = self.require_leader_state()
--- a/src/laburnumpitch/fleet/messages.py
+++ b/src/laburnumpitch/fleet/messages.py
@@ -64,6 +64,8 @@
     """Weight version by model."""
     build: str = ""
     """Version of the target's software."""
+    has_said_leaving: bool = False
+    """Whether the target said in an answer that it is leaving."""
 
 
 class Announce(Message):
@@ -184,6 +186,14 @@
     target_id: str
 
 
+class TargetLeaving(Message):
+    """Reports that a target said in an answer that it is leaving."""
+
+    target_id: str
+    born_ms: int
+    """Incarnation of the target."""
+
+
 class PutConfiguration(Message):
     """Puts an operator's configuration; the body is the text as it was received."""
 
--- a/src/laburnumpitch/fleet/target_table.py
+++ b/src/laburnumpitch/fleet/target_table.py
@@ -188,6 +188,7 @@
     return replace(
         record,
         is_leaving=record.is_leaving or previous.is_leaving,
+        has_said_leaving=previous.has_said_leaving,
         is_loading=previous.is_loading,
         is_retiring=previous.is_retiring,
         versions=versions,
--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -124,6 +124,7 @@
             self.rpc_pool,
             self.metrics,
         )
+        self.engine_client.on_leaving = self.relay.services.record_leaving
         self.make_servers()
 
     def make_replica_manager(self) -> ReplicaManager | None:
--- a/src/laburnumpitch/fleet_relay.py
+++ b/src/laburnumpitch/fleet_relay.py
@@ -61,7 +61,11 @@
         statistics = TargetStatistics(get_time_s)
         fleet_view.get_local_loads = statistics.get_loads
         catalog = TargetCatalog(
-            fleet_view, statistics, get_time_s, settings.outdated_weights_s
+            fleet_view,
+            statistics,
+            get_time_s,
+            settings.outdated_weights_s,
+            settings.drain_s,
         )
         self.coordinator = Coordinator(catalog, get_time_s, random_source)
         self.placement_client = PlacementClient(
--- a/src/laburnumpitch/platform/http_headers.py
+++ b/src/laburnumpitch/platform/http_headers.py
@@ -64,6 +64,9 @@
 """Identifier of the client's attempt that received the first event of a stream."""
 
 RETRY_AFTER = "retry-after"
+SERVER_LEAVING = "server-leaving"
+"""Set to `1` by a target on all answers while it is leaving."""
+
 SERVER_SEAL = "server-seal"
 """Set by a target on each successful answer."""
 
@@ -112,6 +115,11 @@
     return ""
 
 
+def is_leaving(headers: Headers) -> bool:
+    """Whether the headers of a target's answer state that it is leaving."""
+    return any(name == SERVER_LEAVING and value == "1" for name, value in headers)
+
+
 def parse_count(text: str) -> int:
     """Parse a number of tokens; a larger one than `MAX_TOKENS` counts as that.
 
@@ -245,6 +253,7 @@
             is_sealed=SERVER_SEAL in header_values,
             is_encoded=header_values.get("content-encoding", "identity") != "identity",
             weight_version=parse_version(header_values.get(WEIGHT_VERSIONS, "")),
+            is_leaving=is_leaving(headers),
         )
 
     def make_answer_headers(self, headers: Headers) -> Headers:
--- a/src/laburnumpitch/platform/settings_file.py
+++ b/src/laburnumpitch/platform/settings_file.py
@@ -11,6 +11,7 @@
 
 from ..errors import SettingsError
 from ..logging import get_logger
+from ..policy.leaving_targets import DRAIN_S
 from .wire_values import (
     MAX_DURATION_MS,
     MAX_PORT,
@@ -50,6 +51,7 @@
     lease_ms: DurationMs = 3000
     version_ms: DurationMs = 12000
     catch_up_s: DurationS = 4
+    drain_ms: DurationMs = 2000
 
 
 class WireFaultTolerance(msgspec.Struct):
@@ -113,6 +115,8 @@
     """Number of VMs with a disk that may be lost at the same time."""
     catch_up_s: float
     """Time after which a VM that has started replaces a lost one."""
+    drain_s: float = DRAIN_S
+    """Time for which a target that is leaving still serves."""
 
 
 def get_host(address: str) -> str:
@@ -181,4 +185,5 @@
         order_lease_s=bounds.lease_ms / MS_PER_S,
         tolerated_losses=wire.fault_tolerance.machines,
         catch_up_s=float(bounds.catch_up_s),
+        drain_s=bounds.drain_ms / MS_PER_S,
     )
--- a/src/laburnumpitch/platform/target_client.py
+++ b/src/laburnumpitch/platform/target_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TypeVar
 
 import msgspec
@@ -23,7 +24,7 @@
 from ..fleet.store_client import StoreEvent, StoreEvents, StoreListing
 from ..transport.http_client import HttpClientPool
 from ..transport.http_server import Headers
-from .http_headers import EXPECT_INSTANCE
+from .http_headers import EXPECT_INSTANCE, INSTANCE_ID, get_first_header, is_leaving
 from .wire_values import Count, Integer, TokenCount
 
 REPORT_PATH = "/-/report"
@@ -155,9 +156,12 @@
     body: bytes = b"",
     timeout_s: float = REPORT_TIMEOUT_S,
     max_answer_bytes: int = MAX_STATE_BYTES,
+    on_headers: Callable[[Headers], None] = lambda headers: None,
 ) -> bytes:
     """Call a target and return the body of a successful answer.
 
+    `on_headers` is called with the headers of any answer.
+
     Raises:
         TargetError: If the call fails, or the answer's status is 300 or above.
     """
@@ -170,6 +174,7 @@
         total_timeout_s=timeout_s,
         max_answer_bytes=max_answer_bytes,
     )
+    on_headers(answer.headers)
     content = await answer.read()
     if answer.status >= 300:
         raise TargetRefusedError(f"{path}: status {answer.status}")
@@ -265,6 +270,8 @@
 
     def __init__(self) -> None:
         self.clients = HttpClientPool()
+        self.on_leaving: Callable[[TargetRecord], None] = lambda target: None
+        """Called with an engine that says in its answer that it is leaving."""
 
     def close(self) -> None:
         """Close the connections."""
@@ -278,12 +285,23 @@
         """
         headers = [(EXPECT_INSTANCE, target.target_id)]
         content = await call_target(
-            self.clients, target.address, "GET", REPORT_PATH, headers
+            self.clients,
+            target.address,
+            "GET",
+            REPORT_PATH,
+            headers,
+            on_headers=lambda headers: self.check_leaving(target, headers),
         )
         wire = decode_answer(content, WireReport)
         versions = {model.name: model.version for model in wire.models}
         return EngineReport(wire.sequence, wire.busy, versions)
 
+    def check_leaving(self, target: TargetRecord, headers: Headers) -> None:
+        """Check whether an engine says in its answer that it is leaving."""
+        instance_id = get_first_header(headers, INSTANCE_ID)
+        if is_leaving(headers) and instance_id in ("", target.target_id):
+            self.on_leaving(target)
+
     async def order_weights(self, target: TargetRecord, order: WeightOrder) -> str:
         """Order an engine to load weights and return the result.
 
@@ -312,6 +330,7 @@
             max_idle_s=0.0,
             before_write=order.before_write,
         )
+        self.check_leaving(target, answer.headers)
         await answer.read()
         result = ORDER_RESULTS_BY_STATUS.get(answer.status)
         if result is None:
--- a/src/laburnumpitch/relay/answer_checks.py
+++ b/src/laburnumpitch/relay/answer_checks.py
@@ -40,6 +40,18 @@
     return metadata.request_id == request_id or (is_unnamed and is_first_answer)
 
 
+def states_leaving(metadata: AnswerMetadata, target_id: str) -> bool:
+    """Whether a target states in its own answer that it is leaving.
+
+    Any answer of a target states that, also one to another attempt. Whoever has
+    replaced the target at its address says nothing about it.
+    """
+    if not metadata.is_leaving:
+        return False
+    is_named = metadata.instance_id == target_id
+    return is_named or not (metadata.instance_id or metadata.is_misdirected)
+
+
 def check_answer(metadata: AnswerMetadata, request_id: str) -> None:
     """Check that an answer belongs to a request and has its own bytes.
 
--- a/src/laburnumpitch/relay/answer_deadlines.py
+++ b/src/laburnumpitch/relay/answer_deadlines.py
@@ -158,9 +158,11 @@
             return None
         dispatcher, admitted = self.services.dispatcher, self.reserved.admitted
         target = dispatcher.catalog.find_target(
-            admitted.service, self.reserved.target.target_id
+            admitted.service, self.reserved.target.target_id, self.get_build()
         )
-        if target is None or self.services.statistics.is_possibly_unreachable(target):
+        if target is None or target.born_ms != self.reserved.target.born_ms:
+            return None
+        if self.services.statistics.is_possibly_unreachable(target):
             return None
         call = dispatcher.make_place_call(admitted, self.excluded, self.get_build())
         return target if dispatcher.catalog.is_eligible(target, call) else None
--- a/src/laburnumpitch/relay/dispatcher.py
+++ b/src/laburnumpitch/relay/dispatcher.py
@@ -240,7 +240,9 @@
             objective_s=admitted.route.objective_s,
             max_backlog_s=self.get_max_backlog_s(admitted, priority),
             data_centre=self.fleet_view.node.data_centre,
-            excluded=sorted(excluded),
+            excluded=sorted(
+                excluded.union(self.catalog.list_leaving_ids(admitted.service, build))
+            ),
             suspects=backoff_ids,
             is_resumable=admitted.route.is_resumable,
             build=build,
@@ -268,7 +270,7 @@
         if placement is None:
             self.retry_delays_s[key] = answer.wait_s
             return None
-        target = self.catalog.find_target(admitted.service, answer.target_id)
+        target = self.catalog.find_target(admitted.service, answer.target_id, build)
         if target is None or not self.catalog.is_eligible(target, call):
             # This node has newer data on the target than the coordinator.
             self.placement_source.release(placement)
@@ -285,7 +287,7 @@
             return None
         targets = [
             target
-            for target in self.catalog.get_targets(admitted.service)
+            for target in self.catalog.get_targets(admitted.service, call.build)
             if target.target_id not in call.excluded
             and self.catalog.is_eligible(target, call)
             and self.has_capacity(target, call)
--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -17,6 +17,7 @@
     check_answer,
     is_own_refusal,
     raise_not_run,
+    states_leaving,
 )
 from .answer_deadlines import AnswerDeadlines
 from .configuration import STREAMING
@@ -191,6 +192,8 @@
             get_start_timeout_s(self.route)
         )
         request_id = self.admitted.metadata.request_id
+        if states_leaving(metadata, target.target_id):
+            services.record_leaving(target)
         if is_own_refusal(metadata, request_id, answer.is_first):
             await self.drain_rejection(answer)
             raise_not_run(
--- a/src/laburnumpitch/relay/request.py
+++ b/src/laburnumpitch/relay/request.py
@@ -161,6 +161,8 @@
     is_encoded: bool
     """Whether the body has a content encoding, such as compression."""
     weight_version: int | None
+    is_leaving: bool = False
+    """Whether the target states that it is leaving."""
 
 
 @dataclass(frozen=True)
--- a/src/laburnumpitch/relay/services.py
+++ b/src/laburnumpitch/relay/services.py
@@ -7,7 +7,7 @@
 from ..errors import TargetError
 from ..fleet.fleet_view import FleetView
 from ..fleet.leader_client import LeaderClient
-from ..fleet.messages import TargetRecord, TargetUnreachable
+from ..fleet.messages import TargetLeaving, TargetRecord, TargetUnreachable
 from ..logging import get_logger
 from ..metrics import Metrics
 from ..transport.http_client import HttpClientPool
@@ -125,6 +125,17 @@
             view=self.fleet_view.sequence,
         )
 
+    def record_leaving(self, target: TargetRecord) -> None:
+        """Record that a target is leaving, and notify the leader until it knows."""
+        leaving = self.dispatcher.catalog.leaving
+        leaving.record(target)
+        entry = self.fleet_view.targets.entries.get(target.target_id)
+        if entry is None or entry.record.born_ms != target.born_ms:
+            return
+        is_known = entry.record.has_said_leaving or entry.record.is_leaving
+        if not is_known and leaving.try_notify(target):
+            self.notices.start(TargetLeaving(target.target_id, target.born_ms))
+
     def report_unreachable(self, target: TargetRecord) -> None:
         """Notify the leader that a target is unreachable, at a limited rate."""
         now_s = self.get_time_s()
--- a/src/laburnumpitch/relay/target_catalog.py
+++ b/src/laburnumpitch/relay/target_catalog.py
@@ -7,8 +7,10 @@
 from ..fleet.fleet_view import FleetView
 from ..fleet.messages import PlaceCall, TargetRecord
 from ..fleet.store_owner import REMOTE_TRANSFER_FACTOR
+from ..policy.leaving_targets import DRAIN_S
 from ..policy.target_selection import PREFILL_TOKENS_PER_S, TargetCandidate
 from .configuration import EngineSpec, StoreSpec
+from .leaving_targets import LeavingTargets
 from .store_choice import find_store
 from .target_statistics import TargetStatistics, TargetStats
 
@@ -30,6 +32,7 @@
         get_time_s: Monotonic time.
         outdated_weights_s: Time after a new weight version is set in which requests
             may still begin on older weights.
+        drain_s: Time for which a leaving target still serves.
     """
 
     def __init__(
@@ -38,11 +41,13 @@
         statistics: TargetStatistics,
         get_time_s: Callable[[], float],
         outdated_weights_s: float,
+        drain_s: float = DRAIN_S,
     ) -> None:
         self.fleet_view = fleet_view
         self.statistics = statistics
         self.get_time_s = get_time_s
         self.outdated_weights_s = outdated_weights_s
+        self.leaving = LeavingTargets(get_time_s, drain_s)
         self.by_service: dict[str, list[TargetRecord]] = {}
 
     def update(self) -> None:
@@ -50,13 +55,37 @@
         self.by_service = {}
         records = self.fleet_view.targets.get_records()
         for record in records:
+            if record.has_said_leaving:
+                self.leaving.record(record)
             if not record.is_leaving:
                 self.by_service.setdefault(record.service, []).append(record)
         self.statistics.retain({record.target_id for record in records})
+        self.leaving.retain(records)
 
-    def get_targets(self, service: str) -> list[TargetRecord]:
-        """Return the targets of a service without those that are leaving."""
-        return self.by_service.get(service, [])
+    def get_targets(self, service: str, build: str = "") -> list[TargetRecord]:
+        """Return the targets of a service that may get new requests.
+
+        These are the ones that are not leaving. If all of them said in answers that
+        they are leaving, these are returned for a limited time.
+
+        Args:
+            service: The service.
+            build: Build that the targets must have; empty for any.
+        """
+        targets = self.by_service.get(service, [])
+        if build:
+            targets = [target for target in targets if target.build == build]
+        return self.leaving.select_usable(targets)
+
+    def list_leaving_ids(self, service: str, build: str) -> list[str]:
+        """Return the targets of a service that get no new requests as they leave."""
+        usable_ids = {target.target_id for target in self.get_targets(service, build)}
+        return [
+            target.target_id
+            for target in self.by_service.get(service, [])
+            if target.target_id not in usable_ids
+            and self.leaving.get_age_s(target) is not None
+        ]
 
     def has_other_target(
         self, service: str, build: str, excluded: Container[str]
@@ -69,13 +98,21 @@
             excluded: Targets that are excluded.
         """
         return any(
-            target.target_id not in excluded and build in ("", target.build)
-            for target in self.get_targets(service)
+            target.target_id not in excluded
+            for target in self.get_targets(service, build)
         )
 
-    def find_target(self, service: str, target_id: str) -> TargetRecord | None:
-        """Return a target of a service, or None if it is unknown or leaving."""
-        for target in self.get_targets(service):
+    def find_target(
+        self, service: str, target_id: str, build: str = ""
+    ) -> TargetRecord | None:
+        """Return a target that may get new requests, or None if it may not.
+
+        Args:
+            service: The target's service.
+            target_id: The target.
+            build: Build that the target must have; empty for any.
+        """
+        for target in self.get_targets(service, build):
             if target.target_id == target_id:
                 return target
         return None
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -151,6 +151,8 @@
         """Whether it refuses all requests as if it were full, at any load."""
         self.failure_share = 0.0
         """Share of requests that it runs and answers with status 500."""
+        self.says_leaving = False
+        """Whether it says in all its answers that it is leaving."""
         self.deadly_piece = ""
         """Piece of a prompt that crashes it as it begins an answer; empty for none."""
         self.crash_count = 0
@@ -293,6 +295,10 @@
         else:
             await self.execute(request, responder)
 
+    def list_leaving_headers(self) -> list[tuple[str, str]]:
+        """Return the headers with which a leaving target says so."""
+        return [("server-leaving", "1")] if self.says_leaving else []
+
     async def reject(
         self, request: HttpRequest, responder: Responder, status: int
     ) -> None:
@@ -303,6 +309,7 @@
             ("not-executed", "1"),
             ("instance-id", self.target_id),
             ("weight-versions", str(self.version)),
+            *self.list_leaving_headers(),
         ]
         await responder.send(status, headers, b"not run")
 
@@ -336,6 +343,7 @@
         self.record_arrival(request, True, seal)
         self.record_context_use(request)
         headers = [("attempt-id", attempt), ("server-seal", seal)]
+        headers += self.list_leaving_headers()
         if self.has_weights:
             headers.append(("weight-versions", str(self.version)))
         self.running_requests += 1
@@ -409,7 +417,9 @@
             "busy": self.is_loading,
             "sequence": self.order_count,
         }
-        await responder.send(200, [], json.dumps(report).encode())
+        await responder.send(
+            200, self.list_leaving_headers(), json.dumps(report).encode()
+        )
 
     async def handle_order(self, request: HttpRequest, responder: Responder) -> None:
         """Record an order to load weights and start the load.
@@ -424,12 +434,12 @@
         )
         is_current = order.get("precondition", self.order_count) == self.order_count
         if self.is_loading or not is_current:
-            await responder.send(409, [], b"{}")
+            await responder.send(409, self.list_leaving_headers(), b"{}")
             return
         self.order_count += 1
         self.is_loading = True
         self.spawn(self.load_weights(order["version"]))
-        await responder.send(202, [], b"{}")
+        await responder.send(202, self.list_leaving_headers(), b"{}")
 
     async def load_weights(self, version: int) -> None:
         """Wait until no request runs, then switch to a weight version."""
