End connections that the network timed out

Cause: Python's TimeoutError is both the socket's ETIMEDOUT and what asyncio.timeout raises. read_by suppressed it as a deadline that moved, and read again until the deadline; each read raised the same error at once, without a pass of the event loop. ServerConnection.close took it for a client that reads nothing, and counted a timeout.

Ruled out: asking the timeout whether it expired, in read_by. The error may be raised again by the read after the deadline, outside of the timeout.

Change: reads raise ConnectionError for it; close tells it by the timeout's state.

--- a/src/laburnumpitch/transport/server_connection.py
+++ b/src/laburnumpitch/transport/server_connection.py
@@ -149,10 +149,13 @@
             if self.must_linger or not is_idle and self.count_unread_bytes():
                 await self.linger()
             self.writer.close()
-            async with asyncio.timeout(0 if has_timed_out else WRITE_TIMEOUT_S):
+            flush_timeout = asyncio.timeout(0 if has_timed_out else WRITE_TIMEOUT_S)
+            async with flush_timeout:
                 await self.writer.wait_closed()
         except asyncio.TimeoutError:
-            if not has_timed_out:
+            # The socket's ETIMEDOUT is of this class too.
+            is_lost = not flush_timeout.expired()
+            if not is_lost and not has_timed_out:
                 self.record_timeout()
         except OSError:
             is_lost = True
@@ -326,20 +329,33 @@
 
         Raises:
             TimeoutError: If all that had arrived by the deadline was returned.
+            ConnectionError: If the connection is lost.
         """
         while self.loop.time() < (deadline_s := get_deadline_s()):
             with contextlib.suppress(asyncio.TimeoutError):
                 async with asyncio.timeout_at(deadline_s):
-                    return await self.reader.read(CHUNK_BYTES)
+                    return await self.read()
         if self.overrun_deadline_s != deadline_s:
             self.overrun_deadline_s = deadline_s
             self.overrun_bytes = self.count_unread_bytes()
         if self.overrun_bytes <= 0:
             raise asyncio.TimeoutError
-        data = await self.reader.read(CHUNK_BYTES)
+        data = await self.read()
         self.overrun_bytes -= len(data)
         return data
 
+    async def read(self) -> bytes:
+        """Return data that arrives, or an empty string at the end.
+
+        Raises:
+            ConnectionError: If the connection is lost.
+        """
+        try:
+            return await self.reader.read(CHUNK_BYTES)
+        except TimeoutError as error:
+            # The socket's ETIMEDOUT is of the class that the timeouts raise.
+            raise ConnectionError("the connection timed out") from error
+
     async def cancel_on_disconnect(self, handler_task: asyncio.Future[None]) -> None:
         """Cancel a handler when its client disconnects; buffer pipelined data."""
         while True:
--- a/tests/transport/test_connection_timeouts.py
+++ b/tests/transport/test_connection_timeouts.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import errno
 import socket
 import struct
 from unittest import mock
@@ -170,3 +171,31 @@
             return received
 
         self.assertIn(b"HTTP/1.1 200 ", self.run_async(run()))
+
+
+class LostConnectionTest(TimeoutCase):
+    """The network gives a client up while the server waits for it."""
+
+    scenarios = PARTS
+
+    def test_connection_ends(self) -> None:
+        """The connection's task ends at once, as at any other loss."""
+        error = TimeoutError(errno.ETIMEDOUT, "Connection timed out")
+
+        async def run() -> int:
+            server = await self.start_server()
+            _, connection = await self.wait_for_rest(server)
+            # What the event loop does when reading a socket fails.
+            connection.writer.transport._fatal_error(error)
+            deadline_s = self.loop.time() + server.limits.header_timeout_s
+            passes = 0
+            while server.connection_tasks and self.loop.time() < deadline_s:
+                passes += 1
+                await asyncio.sleep(0)
+            await server.close()
+            return passes
+
+        with mock.patch.object(ServerConnection, "record_timeout") as record_timeout:
+            passes = self.run_async(run())
+        self.assertLessEqual(passes, PASSES)
+        record_timeout.assert_not_called()
