Quote organisations' names in cache salts

What callers saw: 503 for every request of an isolated organisation named "Český" or " a" on a route with kept context; and its targets put in backoff for all organisations.

Cause: the salt contains the name as it is, and is a header's value. The request could not be written, which counts as a target that cannot be reached. (That count, and such names in other headers, are not part of this change.)

Change: the name is quoted percent-encoded, which keeps it unique. For names with other characters than letters, digits and "-._~", nodes with and without the change use different salts while both run: they find no context of each other.

Evidence: test_cache_salt without the change: 12 passed, 4 failed (UnicodeEncodeError, or a value with blanks or a line feed); with it 16 passed.

--- a/src/laburnumpitch/relay/context_planner.py
+++ b/src/laburnumpitch/relay/context_planner.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from urllib.parse import quote
+
 from ..errors import LaburnumpitchError
 from ..fleet.fleet_view import FleetView
 from ..fleet.messages import (
@@ -134,5 +136,6 @@
     salt = f"v{version}" if version is not None else f"t{target.target_id}"
     requester = admitted.organisation
     if requester is not None and requester.is_isolated:
-        salt = f"{salt}/{requester.name}"
+        # Quoted, so that each name fits in a header and keeps its own salt.
+        salt = f"{salt}/{quote(requester.name, safe='')}"
     return salt
