Don't count requests that cannot be written as unreachable targets

What callers saw: sound targets in backoff for all organisations, after requests of one whose name is no header value.

Cause: nothing of such a request is sent, and an error without a byte sent was an unreachable target.

Change: a class of its own, InvalidRequestError, which is never unreachable. The request itself is still refused with 503 after its attempts.

--- a/src/laburnumpitch/transport/http_client.py
+++ b/src/laburnumpitch/transport/http_client.py
@@ -67,6 +67,15 @@
 """Bounds the bodies that this process reads into memory."""
 
 
+class InvalidRequestError(MalformedAnswerError):
+    """A request cannot be written as HTTP, which says nothing about its target."""
+
+    @property
+    def is_unreachable(self) -> bool:
+        """Whether the target cannot be reached now."""
+        return False
+
+
 class HttpAnswer:
     """An answer whose body is read as it arrives.
 
@@ -331,7 +340,7 @@
         """Queue a complete request for sending.
 
         Raises:
-            MalformedAnswerError: If the request is not valid HTTP.
+            InvalidRequestError: If the request is not valid HTTP.
         """
         all_headers = [item for item in headers if item[0] not in HOP_BY_HOP_HEADERS]
         all_headers.insert(0, ("host", host or self.address))
@@ -347,7 +356,7 @@
                 connection.send_event(h11.Data(data=body))
             connection.send_event(h11.EndOfMessage())
         except (h11.LocalProtocolError, UnicodeEncodeError) as error:
-            raise MalformedAnswerError(
+            raise InvalidRequestError(
                 f"invalid request: {error}", sent=False
             ) from error
 
