Refuse organisations whose names fit in no header

What callers saw: 503 for every request of an organisation named "a\nb" or " a".

Cause: the name is sent to targets in a header, and any text was accepted as a name. h11 refuses control characters, and blanks around a value.

Change: the configuration refuses them. Names in other scripts stay valid; they are sent in UTF-8. A configuration in force that has such a name cannot be read by nodes with this change; no request of that organisation was served.

Evidence: InvalidTest has 6 more names.

--- a/src/laburnumpitch/platform/configuration.py
+++ b/src/laburnumpitch/platform/configuration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import re
 from typing import Annotated
 
 import msgspec
@@ -36,6 +37,8 @@
 DEFAULT_OBJECTIVE_MS = 1000.0
 """Default latency objective of an answer, or of a stream's first event."""
 
+CONTROL_PATTERN = re.compile(r"[\x00-\x1f\x7f]")
+
 MAX_RATE_MBPS = 1e9
 """Highest bandwidth of a link, in megabits per second."""
 
@@ -199,6 +202,8 @@
         host_prefixes.add(host_prefix)
     tenants_by_key: dict[str, str] = {}
     for tenant in wire.tenants:
+        if not is_header_value(tenant.name):
+            raise InvalidConfigurationError(f"{tenant.name!r}: not a header value")
         for key in tenant.api_keys:
             if tenants_by_key.setdefault(key, tenant.name) != tenant.name:
                 raise InvalidConfigurationError(
@@ -206,6 +211,11 @@
                 )
 
 
+def is_header_value(text: str) -> bool:
+    """Whether a text has no control characters, and no blanks around it."""
+    return CONTROL_PATTERN.search(text) is None and text == text.strip(" ")
+
+
 def check_route(route: WireRoute, services: set[str]) -> None:
     """Check the rules for one route.
 
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -202,6 +202,10 @@
             },
         ),
         ("no_timeout", {"body": make_changed(["routes", 0, "timeout_ms"], 0)}),
+        *(
+            (f"tenant_{name!r}", {"body": make_changed(["tenants", 0, "name"], name)})
+            for name in ("a\nb", "a\tb", "\x00", "a\x7f", " a", "a ")
+        ),
         ("shared_key", {"body": make_changed(["tenants", 1, "api_keys"], ["k1"])}),
         (
             "unknown_route_type",
