Leave targets alone for the time that their 503 states

A target that turns a request away with 503 may add `Retry-After`: it wants nothing from this node for so long. The header was dropped; after a backoff of 0.05 s the node sent further requests there, each of which cost its caller a retry, and a service whose only target said so got all of them.

Ruled out: a longer backoff in the target's statistics. They are kept by identifier and not by incarnation, a success of a request in flight ends the backoff, and a backoff only ranks a target lower. Also ruled out: sharing the time with the fleet, since it is meant for the node that got the answer.

The time is parsed as a decimal number of seconds, 30 s at most; dates and anything else count as none, and so do answers that do not confirm that the request was not run. The catalog leaves the target out until then, with up to a quarter more at random; requests that wait are offered elsewhere at once, coordinators get the target in `excluded`, and a coordinator goes on placing other nodes' requests there. If all targets of a service want nothing, each gets one trial from half of its time on; everything else is refused as not run.

--- a/src/laburnumpitch/platform/http_headers.py
+++ b/src/laburnumpitch/platform/http_headers.py
@@ -97,6 +97,13 @@
 MISDIRECTED_STATUS = 421
 """Status of a target that is not the expected one or has another weight version."""
 
+UNAVAILABLE_STATUS = 503
+"""Status of a target that turns a request away."""
+
+MAX_RETRY_AFTER_S = 30.0
+"""Longest time for which a target is left alone at its word; a larger value is more
+likely a fault than an overload, and would cost its capacity for as long."""
+
 MAX_REQUEST_PRIORITY = 9
 """Largest priority value that is sent to a target; 0 is served first."""
 
@@ -139,6 +146,17 @@
     return int(text)
 
 
+def parse_retry_after_s(text: str) -> float | None:
+    """Parse a time in seconds, up to `MAX_RETRY_AFTER_S`; None if it is none.
+
+    A date is none: the clocks of targets may differ.
+    """
+    whole, _, fraction = text.partition(".")
+    if not (text.isascii() and whole.isdecimal() and (fraction or "0").isdecimal()):
+        return None
+    return min(float(text), MAX_RETRY_AFTER_S)
+
+
 def parse_timeout_s(text: str) -> float:
     """Parse a time in milliseconds and return it in seconds.
 
@@ -254,6 +272,11 @@
             is_encoded=header_values.get("content-encoding", "identity") != "identity",
             weight_version=parse_version(header_values.get(WEIGHT_VERSIONS, "")),
             is_leaving=is_leaving(headers),
+            retry_after_s=(
+                parse_retry_after_s(header_values.get(RETRY_AFTER, ""))
+                if status == UNAVAILABLE_STATUS
+                else None
+            ),
         )
 
     def make_answer_headers(self, headers: Headers) -> Headers:
--- a/src/laburnumpitch/relay/dispatcher.py
+++ b/src/laburnumpitch/relay/dispatcher.py
@@ -202,6 +202,10 @@
 
         Later requests do not overtake it, or large prompts would never be dispatched.
         """
+        if self.catalog.has_only_shedding(*queued.key):
+            self.queue.discard(queued)
+            queued.fail(NoTargetError(f"targets of {queued.key[0]} want no requests"))
+            return
         wakeup = self.wakeup
         target = await self.try_acquire(queued.admitted, queued.excluded, queued.build)
         if target is None:
@@ -241,7 +245,7 @@
             max_backlog_s=self.get_max_backlog_s(admitted, priority),
             data_centre=self.fleet_view.node.data_centre,
             excluded=sorted(
-                excluded.union(self.catalog.list_leaving_ids(admitted.service, build))
+                excluded.union(self.catalog.list_avoided_ids(admitted.service, build))
             ),
             suspects=backoff_ids,
             is_resumable=admitted.route.is_resumable,
@@ -276,7 +280,7 @@
             self.placement_source.release(placement)
             return self.choose_locally(admitted, call)
         self.placements[id(admitted)] = placement
-        self.statistics.record_start(target, admitted.metadata.prompt_tokens)
+        self.catalog.record_start(target, admitted.metadata.prompt_tokens)
         return target
 
     def choose_locally(
@@ -317,7 +321,7 @@
         if chosen is None:
             return None
         target = next(t for t in targets if t.target_id == chosen.target_id)
-        self.statistics.record_start(target, call.prompt_tokens)
+        self.catalog.record_start(target, call.prompt_tokens)
         if admitted.route.has_context:
             self.get_send_window(admitted.service).record_sent(
                 id(admitted), call.prompt_tokens, call.objective_s, self.get_time_s()
--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -195,6 +195,8 @@
         if states_leaving(metadata, target.target_id):
             services.record_leaving(target)
         if is_own_refusal(metadata, request_id, answer.is_first):
+            if metadata.retry_after_s is not None:
+                services.record_shedding(target, metadata.retry_after_s)
             await self.drain_rejection(answer)
             raise_not_run(
                 services.statistics,
--- a/src/laburnumpitch/relay/request.py
+++ b/src/laburnumpitch/relay/request.py
@@ -163,6 +163,8 @@
     weight_version: int | None
     is_leaving: bool = False
     """Whether the target states that it is leaving."""
+    retry_after_s: float | None = None
+    """Time for which a target that is too busy asks for no requests."""
 
 
 @dataclass(frozen=True)
--- a/src/laburnumpitch/relay/services.py
+++ b/src/laburnumpitch/relay/services.py
@@ -136,6 +136,11 @@
         if not is_known and leaving.try_notify(target):
             self.notices.start(TargetLeaving(target.target_id, target.born_ms))
 
+    def record_shedding(self, target: TargetRecord, duration_s: float) -> None:
+        """Record that a target asks for no requests; offer queued ones elsewhere."""
+        self.dispatcher.catalog.shedding.record(target, duration_s)
+        self.dispatcher.wake_queues()
+
     def report_unreachable(self, target: TargetRecord) -> None:
         """Notify the leader that a target is unreachable, at a limited rate."""
         now_s = self.get_time_s()
--- a/src/laburnumpitch/relay/target_catalog.py
+++ b/src/laburnumpitch/relay/target_catalog.py
@@ -11,6 +11,7 @@
 from ..policy.target_selection import PREFILL_TOKENS_PER_S, TargetCandidate
 from .configuration import EngineSpec, StoreSpec
 from .leaving_targets import LeavingTargets
+from .shedding_targets import SheddingTargets
 from .store_choice import find_store
 from .target_statistics import TargetStatistics, TargetStats
 
@@ -48,6 +49,7 @@
         self.get_time_s = get_time_s
         self.outdated_weights_s = outdated_weights_s
         self.leaving = LeavingTargets(get_time_s, drain_s)
+        self.shedding = SheddingTargets(get_time_s)
         self.by_service: dict[str, list[TargetRecord]] = {}
 
     def update(self) -> None:
@@ -61,12 +63,36 @@
                 self.by_service.setdefault(record.service, []).append(record)
         self.statistics.retain({record.target_id for record in records})
         self.leaving.retain(records)
+        self.shedding.drop_ended()
 
     def get_targets(self, service: str, build: str = "") -> list[TargetRecord]:
-        """Return the targets of a service that may get new requests.
+        """Return the targets of a service that may get new requests of this node.
 
-        These are the ones that are not leaving. If all of them said in answers that
-        they are leaving, these are returned for a limited time.
+        These are the ones that stay and do not ask this node for no requests. If all
+        of them do, these are the ones that may get a trial.
+
+        Args:
+            service: The service.
+            build: Build that the targets must have; empty for any.
+        """
+        return self.shedding.select_usable(self.get_staying_targets(service, build))
+
+    def has_only_shedding(self, service: str, build: str) -> bool:
+        """Whether all targets of a service ask this node for no requests."""
+        return bool(self.get_staying_targets(service, build)) and not self.get_targets(
+            service, build
+        )
+
+    def record_start(self, target: TargetRecord, tokens: int) -> None:
+        """Count a request that is sent to a target."""
+        self.shedding.record_start(target)
+        self.statistics.record_start(target, tokens)
+
+    def get_staying_targets(self, service: str, build: str) -> list[TargetRecord]:
+        """Return the targets of a service that are not leaving.
+
+        If all of them said in answers that they are leaving, these are returned for a
+        limited time.
 
         Args:
             service: The service.
@@ -77,14 +103,13 @@
             targets = [target for target in targets if target.build == build]
         return self.leaving.select_usable(targets)
 
-    def list_leaving_ids(self, service: str, build: str) -> list[str]:
-        """Return the targets of a service that get no new requests as they leave."""
+    def list_avoided_ids(self, service: str, build: str) -> list[str]:
+        """Return the targets of a service that get no new requests of this node."""
         usable_ids = {target.target_id for target in self.get_targets(service, build)}
         return [
             target.target_id
             for target in self.by_service.get(service, [])
-            if target.target_id not in usable_ids
-            and self.leaving.get_age_s(target) is not None
+            if target.target_id not in usable_ids and build in ("", target.build)
         ]
 
     def has_other_target(
