Test what coordinators know of leaving and shedding targets

A coordinator must leave out a target that its own node knows to be leaving, and must go on placing other nodes' requests at one that wants nothing from its own node only. No test showed either.

Evidence: with `get_targets` in place of `get_staying_targets` in Coordinator.on_place_call test_shedding_at_own_node fails (12 passed, 1 failed); with the bare list of targets test_leaving_at_own_node does (12 passed, 1 failed). As it is, 13 passed.

--- a/tests/relay/test_coordinator.py
+++ b/tests/relay/test_coordinator.py
@@ -135,6 +135,22 @@
         self.clock.now_s = 1.0
         self.assertIn("t0", {self.request_placement().target_id for _ in range(4)})
 
+    def test_shedding_at_own_node(self) -> None:
+        """A target that wants nothing from this node was left out for other nodes."""
+        catalog = self.coordinator.catalog
+        target = catalog.find_target(SERVICE, "t0")
+        catalog.shedding.record(target, 10.0)
+        self.assertIsNone(catalog.find_target(SERVICE, "t0"))
+        answer = self.request_placement(excluded=["t1"])
+        self.assertEqual("t0", answer.target_id)
+
+    def test_leaving_at_own_node(self) -> None:
+        """A target that this node knows to be leaving was placed for another node."""
+        catalog = self.coordinator.catalog
+        catalog.leaving.record(catalog.find_target(SERVICE, "t0"))
+        for _ in range(3):
+            self.assertEqual("t1", self.request_placement().target_id)
+
     def test_slots_full(self) -> None:
         """With all slots taken there is no placement until one is released."""
         capacity = 2 * int(SLOTS * SLOT_OVERCOMMIT)
