Extend a target's backoff once for a common silence

What callers saw: a sound target that paused for a second was avoided for up to 4 s, the longest backoff, after one pause with many requests.

Cause: each request that fell silent recorded a failure to reach the target, and each of them doubled its next backoff.

Change: a silence is recorded only while the target is not in backoff.

--- a/src/laburnumpitch/relay/answer_deadlines.py
+++ b/src/laburnumpitch/relay/answer_deadlines.py
@@ -142,9 +142,14 @@
         return can_run_elsewhere(outlook)
 
     def record_silence(self) -> None:
-        """Record, once for each sending, that the target may be unreachable."""
-        if not self.has_recorded_silence:
-            self.has_recorded_silence = True
+        """Record, once for each sending, that the target may be unreachable.
+
+        Only the first of the requests that fall silent together extends the backoff.
+        """
+        if self.has_recorded_silence:
+            return
+        self.has_recorded_silence = True
+        if not self.services.statistics.is_in_backoff(self.target):
             self.services.statistics.record_failure(self.target, True)
             self.services.report_unreachable(self.target)
 
--- a/tests/relay/test_silent_targets.py
+++ b/tests/relay/test_silent_targets.py
@@ -8,7 +8,9 @@
 import testscenarios
 
 from laburnumpitch.fleet.messages import PlaceAnswer, PlaceCall
+from laburnumpitch.relay.answer_deadlines import AnswerDeadlines
 from laburnumpitch.relay.placement_client import Placement
+from laburnumpitch.relay.target_statistics import INITIAL_BACKOFF_S
 
 from .relay_case import CONFIGURATION, HOST, PacedAnswer, RelayCase, Script, make_answer
 from .test_relay import CHUNKED_HEAD, EVENTS, make_chunk
@@ -19,6 +21,9 @@
 DEADLINE_S = 6.0
 """A deadline that no pause reaches."""
 
+REQUESTS = 20
+"""Requests that fall silent together."""
+
 FULL = 100
 """More requests than any target takes."""
 
@@ -243,3 +248,25 @@
 
         second = self.make_second_answer()
         self.run_relay([[PacedAnswer(self.parts, 3 * PAUSE_S)], [second]], scenario)
+
+
+class CommonPauseTest(SilentTargetCase):
+    """Many requests at one target fall silent in one pause."""
+
+    def test_one_backoff(self) -> None:
+        """The pause counts as one failure to reach the target."""
+
+        async def scenario() -> None:
+            services = self.services
+            services.retry_limiter.ratio = services.retry_limiter.slack = 0.0
+            first, _ = services.dispatcher.catalog.get_targets("shop")
+            for _ in range(REQUESTS):
+                deadlines = AnswerDeadlines(
+                    services, self.get_deadline_s(), lambda: 1, lambda: ""
+                )
+                deadlines.start(first, self.make_admitted("read", 10), set())
+                await deadlines.extend()
+            stats = services.statistics.get("t0")
+            self.assertEqual(2 * INITIAL_BACKOFF_S, stats.backoff_s)
+
+        self.run_relay([[], []], scenario)
