Review: an order runs twice on a route that is marked resumable

Cause: Route.is_retryable takes resumable for any type of route, and such a configuration is accepted.

--- a/review/common/engine.py
+++ b/review/common/engine.py
@@ -4,6 +4,7 @@
 
 import http.client
 import json
+import socket
 import threading
 import time
 from dataclasses import dataclass
@@ -14,6 +15,9 @@
 HEARTBEAT_S = 1.2
 """Interval of the heartbeats (`heartbeat_ms`)."""
 
+POLL_S = 0.01
+"""Interval at which the server looks whether it has to stop."""
+
 LOAD_S = 1.1
 """Time for which new weights take the engine."""
 
@@ -33,6 +37,15 @@
     """Parts of the prompt found in memory, each with the tenant that made it."""
 
 
+class EngineServer(ThreadingHTTPServer):
+    """Serves each connection in a thread; a crash says nothing."""
+
+    daemon_threads = True
+
+    def handle_error(self, request, client_address) -> None:
+        """Ignore connections that broke."""
+
+
 class Engine:
     """An engine of one service at a loopback address.
 
@@ -41,8 +54,8 @@
         record: Where events are written.
         service: Its service.
         model: Its model; empty for a plain service.
-        port: Port that it listens on.
         name: Its name, from which its id is made.
+        work_s: Time for which a request runs.
     """
 
     def __init__(
@@ -52,12 +65,16 @@
         service: str,
         model: str = "",
         name: str = "a",
+        work_s: float = 0.0,
     ) -> None:
         self.fleet = fleet
         self.record = record
         self.service = service
         self.model = model
         self.name = name
+        self.work_s = work_s
+        self.loses_answers = False
+        """Whether it runs requests and then resets the connection."""
         self.version = 1
         self.incarnation = 0
         self.runs: list[Run] = []
@@ -81,11 +98,22 @@
         self.memory: dict[tuple[str, str], str] = {}
         """Tenant that made a part, by salt and part."""
         self.is_running = True
+        self.connections: set[socket.socket] = set()
         engine = self
 
         class Handler(BaseHTTPRequestHandler):
+            """Passes calls to the engine."""
+
             protocol_version = "HTTP/1.1"
 
+            def setup(self) -> None:
+                super().setup()
+                engine.connections.add(self.connection)
+
+            def finish(self) -> None:
+                engine.connections.discard(self.connection)
+                super().finish()
+
             def log_message(self, *arguments) -> None:
                 """Write no log of its own."""
 
@@ -94,10 +122,11 @@
 
             do_POST = do_GET
 
-        self.server = ThreadingHTTPServer((self.host, self.port), Handler)
-        self.server.daemon_threads = True
+        self.server = EngineServer((self.host, self.port), Handler)
         self.port = self.server.server_address[1]
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        threading.Thread(
+            target=self.server.serve_forever, args=(POLL_S,), daemon=True
+        ).start()
         threading.Thread(
             target=self.run_heartbeats, args=(self.incarnation,), daemon=True
         ).start()
@@ -108,6 +137,11 @@
         self.is_running = False
         self.server.shutdown()
         self.server.server_close()
+        for connection in list(self.connections):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
         self.record.write(f"engine {self.instance_id} has crashed")
 
     def run_heartbeats(self, incarnation: int) -> None:
@@ -247,6 +281,14 @@
             f"parts in memory (made by): {used or 'none'}"
         )
         seal = {"Server-Seal": f"{self.instance_id}.{len(self.runs)}"}
+        if self.loses_answers:
+            self.record.write(f"engine {self.instance_id} loses its answer to {attempt}")
+            raise ConnectionAbortedError("the answer is lost")
+        if self.work_s:
+            incarnation = self.incarnation
+            time.sleep(self.work_s)
+            if not self.is_running or self.incarnation != incarnation:
+                raise ConnectionAbortedError("the engine has crashed")
         if not self.model:
             self.answer(call, 200, attempt.encode(), base | seal)
             return
@@ -268,6 +310,7 @@
     path: str,
     headers: dict[str, str],
     timeout_s: float = 5.0,
+    method: str = "POST",
 ) -> int:
     """Send a client's request to a node and return the status; 0 without an answer."""
     connection = http.client.HTTPConnection(
@@ -276,7 +319,7 @@
     sent = {"Attempt-Id": attempt, **headers}
     status = 0
     try:
-        connection.request("POST", path, b"question", sent)
+        connection.request(method, path, b"question" if method == "POST" else None, sent)
         answer = connection.getresponse()
         answer.read()
         status = answer.status
