--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -467,5 +467,9 @@
     except CouldNotRunError as error:
         record.write(f"could not run: {error}")
         status = COULD_NOT_RUN
+    except Exception as error:
+        # Python would exit with 1, which states that the rule was broken.
+        record.write(f"could not run: {error!r}")
+        status = COULD_NOT_RUN
     record.write({0: "the rule held", 1: "the rule was broken"}.get(status, "not run"))
     sys.exit(status)
