Give each weight version its own age, and load waiting engines first

Cause, two faults that meet: - A node stopped using old weights by the age of the newest version, so each further version, and each restart, allowed the first one for longer. - Engines loaded in the order of their identifiers, so each further version made the first ones due again before the last one had loaded anything.

Ruled out: loads that end late. They occur (an order named the version at its engine's turn), but cost a load at most; an order now names the newest one.

Change: policy/weight_history.py holds an age for each version; the ages travel with the fleet's facts, so that a restarted node or a new leader does not count anew. policy/load_queue.py lets the engine that has waited longest load first; after a failed load it waits anew. Models of one pool go by the same measure. Related path: the rollout controller of `laburnumpitch node` had the same order.

Why it works: an engine's first newer version keeps its time whatever comes later, and every engine gets its turn before one that had it since.

--- a/src/laburnumpitch/control/rollout_controller.py
+++ b/src/laburnumpitch/control/rollout_controller.py
@@ -19,6 +19,7 @@
 from ..errors import LaburnumpitchError, NotLeaderError
 from ..logging import get_logger
 from ..membership.messages import TargetInfo, TargetLoad
+from ..policy.load_queue import LoadQueue
 from ..policy.rollout import EngineRollout, PoolRollout, choose_loads
 from ..targets.http_engine import HttpEngine
 from ..targets.protocols import EngineState, Fence
@@ -80,6 +81,8 @@
         """Loads ordered in this term and not yet ended, by target id."""
         self.retry_at_s: dict[str, float] = {}
         """Time before which a target whose load failed gets no order, by target id."""
+        self.load_queues: dict[str, LoadQueue] = {}
+        """Since when the engines wait for a load, by pool."""
         self.log = get_logger()
         self.task: asyncio.Task[None] | None = None
 
@@ -118,6 +121,7 @@
             self.last_order_index = 0
             self.pending_loads.clear()
             self.retry_at_s.clear()
+            self.load_queues.clear()
         return self.get_time_s() > core.leader_since_s + TAKEOVER_WAIT_S
 
     def require_leadership(self) -> None:
@@ -145,9 +149,14 @@
         """Order the loads that are due in the pool of one model."""
         engines = self.list_reporting_engines(model.pool)
         self.update_pending_loads(engines)
+        queue = self.load_queues.setdefault(model.pool, LoadQueue())
+        queue.retain(target.target_id for target, _ in engines)
         rollout = PoolRollout(
             model.weight_version,
-            tuple(self.make_engine_rollout(target, load) for target, load in engines),
+            tuple(
+                self.make_engine_rollout(target, load, model.weight_version, queue)
+                for target, load in engines
+            ),
             pool.capacity_floor,
             model.pool in self.replica.state_machine.state.paused_pools,
             self.count_free_loads(pool.weight_store),
@@ -168,15 +177,25 @@
         ]
 
     def make_engine_rollout(
-        self, target: TargetInfo, load: TargetLoad
+        self,
+        target: TargetInfo,
+        load: TargetLoad,
+        desired_version: str,
+        queue: LoadQueue,
     ) -> EngineRollout:
         """Return an engine's version and load state as the policy takes them."""
+        now_s = self.get_time_s()
         retry_at_s = self.retry_at_s.get(target.target_id, 0.0)
+        # The time of a failed load's retry is later than that of its failure.
+        waiting_s = queue.update(
+            target.target_id, load.weight_version, desired_version, now_s
+        )
         return EngineRollout(
             target.target_id,
             load.weight_version,
             load.is_loading or target.target_id in self.pending_loads,
-            self.get_time_s() < retry_at_s,
+            now_s < retry_at_s,
+            min(waiting_s, max(0.0, now_s - retry_at_s)),
         )
 
     def update_pending_loads(
--- a/src/laburnumpitch/fleet/fleet_publisher.py
+++ b/src/laburnumpitch/fleet/fleet_publisher.py
@@ -11,10 +11,13 @@
 from collections.abc import Callable
 from typing import Any
 
+from msgspec.structs import replace
+
 from .._tasks import contain_errors
 from ..control.replica import Replica
 from ..errors import LaburnumpitchError
 from ..logging import get_logger
+from ..policy.weight_history import WeightHistory
 from .assignments import assign_hosts
 from .load_totals import LoadTotals
 from .messages import (
@@ -105,6 +108,9 @@
         known_facts = self.get_facts()
         self.quarantine = Quarantine(known_facts, self.started_s)
         self.quarantine_updated_s = self.started_s
+        self.weight_history = WeightHistory()
+        if known_facts is not None:
+            self.weight_history.merge(known_facts.weight_ages, self.started_s)
         self.assignments = dict(known_facts.keepers) if known_facts else {}
         self.subscriptions.close()
         self.subscriptions = Subscriptions(
@@ -223,7 +229,11 @@
             targets=self.targets.get_changes(after),
             configuration_version=state.configuration_version,
             configuration=b"" if has_newest else state.configuration,
-            facts=self.facts if is_full or after < self.facts_sequence else None,
+            facts=(
+                self.get_facts_to_send()
+                if is_full or after < self.facts_sequence
+                else None
+            ),
             loads=self.loads.get_totals_of_others(call.node.host),
         )
 
@@ -315,6 +325,7 @@
             Sequence number of the newest facts.
         """
         state = self.replica.state_machine.state
+        self.weight_history.record(state.weights, self.get_time_s())
         facts = FleetFacts(
             weights=dict(state.weights),
             members=self.replica.core.committed_members,
@@ -331,6 +342,13 @@
             self.facts_sequence = self.publish()
         return self.facts_sequence
 
+    def get_facts_to_send(self) -> FleetFacts | None:
+        """Return the newest facts with the present ages of weight versions."""
+        if self.facts is None:
+            return None
+        ages = self.weight_history.get_ages(self.get_time_s())
+        return replace(self.facts, weight_ages=ages)
+
     def may_record_builds(self) -> bool:
         """Whether the software of every node that may vote knows of builds.
 
--- a/src/laburnumpitch/fleet/fleet_view.py
+++ b/src/laburnumpitch/fleet/fleet_view.py
@@ -7,10 +7,13 @@
 import zlib
 from collections.abc import Callable
 
+from msgspec.structs import replace
+
 from .._tasks import cancel_and_wait, contain_errors, start_loop
 from ..control.raft_messages import Member
 from ..errors import InvalidConfigurationError, LaburnumpitchError
 from ..logging import get_logger
+from ..policy.weight_history import WeightHistory
 from ..relay.configuration import RoutingConfiguration
 from .leader_client import LeaderClient
 from .messages import (
@@ -66,8 +69,8 @@
         """Text of the configuration in force, compressed."""
         self.weight_versions: dict[str, int] = {}
         """Desired weight version by model, as operators set it."""
-        self.weight_versions_since_s: dict[str, float] = {}
-        """Time since when this node knows a model's desired version."""
+        self.weight_history = WeightHistory()
+        """Since when each version has been replaced by a newer one."""
         self.quarantined: frozenset[str] = frozenset()
         """Fingerprints of requests that no node runs any more."""
         self.quarantined_pieces: frozenset[str] = frozenset()
@@ -191,16 +194,24 @@
             with contain_errors("fleet_view"):
                 callback()
 
-    def get_weight_version_age_s(self, model: str) -> float:
-        """Return the time for which this node has known a model's desired version."""
-        return self.get_time_s() - self.weight_versions_since_s.get(model, float("inf"))
+    def get_outdated_weights_s(self, model: str, version: int) -> float:
+        """Return the time since a version newer than a model's given one was set."""
+        return self.weight_history.get_outdated_s(model, version, self.get_time_s())
+
+    def get_facts(self) -> FleetFacts | None:
+        """Return the fleet's facts with the present ages; None without any."""
+        if self.facts is None:
+            return None
+        ages = self.weight_history.get_ages(self.get_time_s())
+        return replace(self.facts, weight_ages=ages)
 
     def make_snapshot(self) -> FleetSnapshot | None:
         """Return this node's state, or None before the first configuration."""
-        if self.facts is None or not self.packed_configuration:
+        facts = self.get_facts()
+        if facts is None or not self.packed_configuration:
             return None
         return FleetSnapshot(
-            self.packed_configuration, self.targets.get_records(), self.facts
+            self.packed_configuration, self.targets.get_records(), facts
         )
 
     def apply_snapshot(self, snapshot: FleetSnapshot) -> None:
@@ -219,9 +230,9 @@
     def apply_facts(self, facts: FleetFacts) -> None:
         """Apply the fleet's facts."""
         self.facts = facts
-        for model, version in facts.weights.items():
-            if version != self.weight_versions.get(model):
-                self.weight_versions_since_s[model] = self.get_time_s()
+        now_s = self.get_time_s()
+        self.weight_history.merge(facts.weight_ages, now_s)
+        self.weight_history.record(facts.weights, now_s)
         self.weight_versions = facts.weights
         self.quarantined = frozenset(facts.quarantined)
         self.quarantined_pieces = frozenset(facts.quarantined_pieces)
--- a/src/laburnumpitch/fleet/messages.py
+++ b/src/laburnumpitch/fleet/messages.py
@@ -130,6 +130,8 @@
     builds: dict[str, dict[str, bool]] | None = None
     """Committed builds by service, and whether streams may begin on each of them. None
     from a leader whose software does not record builds."""
+    weight_ages: dict[str, dict[int, float]] = field(default_factory=dict)
+    """Seconds since each weight version was set, by model, when the facts were sent."""
 
 
 class FleetSnapshot(Message):
--- a/src/laburnumpitch/fleet/rollout_controller.py
+++ b/src/laburnumpitch/fleet/rollout_controller.py
@@ -14,6 +14,7 @@
 from .._tasks import contain_errors, keep_running, start_task
 from ..errors import LaburnumpitchError, NotLeaderError, TargetError
 from ..logging import get_logger
+from ..policy.load_queue import LoadQueue
 from ..policy.rollout import (
     EngineRollout,
     PoolRollout,
@@ -87,6 +88,8 @@
         """Tasks of the loads in progress that this term's leader ordered, by target."""
         self.retiring_since_s: dict[str, float] = {}
         """Time since when the engines that load next get only short requests."""
+        self.load_queues: dict[str, LoadQueue] = {}
+        """Since when the engines wait for a load, by model."""
         self.load_estimate_s = INITIAL_LOAD_ESTIMATE_S
         """Estimated time for which a load makes an engine unavailable."""
         self.log = get_logger()
@@ -112,6 +115,7 @@
             load.cancel()
         self.load_tasks.clear()
         self.retiring_since_s.clear()
+        self.load_queues.clear()
 
     def may_give_orders(self, publisher: FleetPublisher) -> bool:
         """Whether this node leads and no previous holder's order can still arrive."""
@@ -133,12 +137,33 @@
         for record in publisher.targets.get_records():
             if record.versions and not record.is_leaving:
                 pools.setdefault(record.service, []).append(record)
+        for queue in self.load_queues.values():
+            queue.retain(publisher.targets.entries)
         for records in pools.values():
-            for model, version in weights.items():
+            for model, version in sorted(
+                weights.items(),
+                key=lambda item: self.get_longest_outdated_s(publisher, records, *item),
+                reverse=True,
+            ):
                 matching = [record for record in records if model in record.versions]
                 with contain_errors("rollout_controller"):
                     self.start_pool_loads(publisher, matching, model, version)
 
+    def get_longest_outdated_s(
+        self,
+        publisher: FleetPublisher,
+        records: list[TargetRecord],
+        model: str,
+        version: int,
+    ) -> float:
+        """Return the time for which the oldest version of a model has been outdated.
+
+        Models whose engines have waited longest come first, so that versions of one
+        model in succession do not keep another one from its rollout.
+        """
+        oldest = min((r.versions.get(model, version) for r in records), default=version)
+        return publisher.weight_history.get_outdated_s(model, oldest, self.get_time_s())
+
     def start_pool_loads(
         self,
         publisher: FleetPublisher,
@@ -151,7 +176,7 @@
         An engine gets only short requests for `RETIRING_S` before its load starts.
         """
         by_id = {record.target_id: record for record in records}
-        pool = self.make_pool(records, model, version)
+        pool = self.make_pool(publisher, records, model, version)
         for target_id in choose_retiring(pool):
             if target_id not in self.retiring_since_s:
                 self.retiring_since_s[target_id] = self.get_time_s()
@@ -167,23 +192,42 @@
             self.load_tasks[target_id] = start_task("weight_load", load)
 
     def make_pool(
-        self, records: list[TargetRecord], model: str, version: int
+        self,
+        publisher: FleetPublisher,
+        records: list[TargetRecord],
+        model: str,
+        version: int,
     ) -> PoolRollout:
         """Return the engines of a pool in the form that the rollout policy takes."""
         engines = tuple(
-            EngineRollout(
-                record.target_id,
-                str(min(record.versions[model], version)),
-                record.target_id in self.load_tasks,
-                record.is_silent,
-            )
-            for record in records
+            self.make_engine(publisher, record, model, version) for record in records
         )
         floor = get_capacity_floor(
             len(engines), self.load_estimate_s, self.version_timeout_s
         )
         return PoolRollout(str(version), engines, floor, False, len(engines))
 
+    def make_engine(
+        self, publisher: FleetPublisher, record: TargetRecord, model: str, version: int
+    ) -> EngineRollout:
+        """Return an engine in the form that the rollout policy takes."""
+        now_s = self.get_time_s()
+        engine_version = min(record.versions[model], version)
+        waiting_s = self.load_queues.setdefault(model, LoadQueue()).update(
+            record.target_id,
+            str(engine_version),
+            str(version),
+            now_s,
+            publisher.weight_history.get_outdated_s(model, engine_version, now_s),
+        )
+        return EngineRollout(
+            record.target_id,
+            str(engine_version),
+            record.target_id in self.load_tasks,
+            record.is_silent,
+            waiting_s,
+        )
+
     def has_retired(self, target_id: str) -> bool:
         """Whether an engine has had `RETIRING_S` to end its long runs."""
         since_s = self.retiring_since_s.get(target_id)
@@ -196,10 +240,14 @@
         target_id = record.target_id
         started_s = self.get_time_s()
         publisher.update_target(target_id, is_loading=True, is_retiring=False)
+        has_version = False
         try:
             while self.get_time_s() - started_s < LOAD_TIMEOUT_S:
                 try:
-                    if await self.advance_load(publisher, record, model, version):
+                    has_version = await self.advance_load(
+                        publisher, record, model, version
+                    )
+                    if has_version:
                         duration_s = self.get_time_s() - started_s
                         self.load_estimate_s += (
                             duration_s - self.load_estimate_s
@@ -219,12 +267,15 @@
             self.log.warning("order_lost", target=target_id, code=error.code)
         finally:
             self.load_tasks.pop(target_id, None)
+            if not has_version and model in self.load_queues:
+                self.load_queues[model].record_failure(target_id, self.get_time_s())
             publisher.update_target(target_id, is_loading=False)
         self.log.info(
             "load_ended",
             target=target_id,
             model=model,
             version=version,
+            has_version=has_version,
             seconds=round(self.get_time_s() - started_s, 2),
         )
 
@@ -244,9 +295,11 @@
             return True
         if report.is_busy:
             return False
+        # A newer version may have been set since the load began.
+        newest_version = publisher.replica.state_machine.state.weights[model]
         order = WeightOrder(
             model,
-            version,
+            newest_version,
             self.replica_manager.node.host,
             self.term,
             report.order_count,
@@ -257,7 +310,7 @@
             "load_ordered",
             target=record.target_id,
             model=model,
-            version=version,
+            version=newest_version,
             token=order.token,
             after_orders=order.after_orders,
             result=result,
--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -141,7 +141,7 @@
             self.metrics,
             self.settings.announce_interval_s,
             self.list_assignment_names,
-            lambda: self.fleet_view.facts,
+            self.fleet_view.get_facts,
             self.list_members,
             get_boottime_s,
         )
--- a/src/laburnumpitch/policy/rollout.py
+++ b/src/laburnumpitch/policy/rollout.py
@@ -33,6 +33,8 @@
     is_load_deferred: bool = False
     """Whether it must not be ordered to load yet, for example because its last load
     failed a short time ago."""
+    waiting_s: float = 0.0
+    """Time for which it has waited for the desired version."""
 
 
 @dataclass(frozen=True)
@@ -61,10 +63,14 @@
 
 
 def list_load_candidates(pool: PoolRollout) -> list[str]:
-    """Return the engines without the desired version that may be ordered to load it."""
+    """Return the engines without the desired version that may be ordered to load it.
+
+    Those that have waited longest come first. In a fixed order, versions that are set
+    in quick succession would keep the last engines on the first version.
+    """
     return [
         engine.target_id
-        for engine in sorted(pool.engines, key=lambda engine: engine.target_id)
+        for engine in sorted(pool.engines, key=lambda e: (-e.waiting_s, e.target_id))
         if engine.weight_version != pool.desired_version
         and not engine.is_loading
         and not engine.is_load_deferred
--- a/src/laburnumpitch/relay/target_catalog.py
+++ b/src/laburnumpitch/relay/target_catalog.py
@@ -31,8 +31,8 @@
         fleet_view: This node's copy of the fleet's state.
         statistics: This node's statistics of each target.
         get_time_s: Monotonic time.
-        outdated_weights_s: Time after a new weight version is set in which requests
-            may still begin on older weights.
+        outdated_weights_s: Time after a weight version is set in which requests may
+            still begin on older weights, whether or not a newer one is set meanwhile.
         drain_s: Time for which a leaving target still serves.
     """
 
@@ -184,7 +184,7 @@
         if version is None or version >= desired_version:
             return False
         limit_s = self.outdated_weights_s * OUTDATED_WEIGHTS_SHARE
-        return self.fleet_view.get_weight_version_age_s(model) > limit_s
+        return self.fleet_view.get_outdated_weights_s(model, version) > limit_s
 
     def find_weight_version(
         self, target: TargetRecord, stats: TargetStats, model: str
--- a/tests/fleet/test_rollout_controller.py
+++ b/tests/fleet/test_rollout_controller.py
@@ -15,6 +15,7 @@
 from laburnumpitch.fleet.messages import TargetRecord
 from laburnumpitch.fleet.rollout_controller import RolloutController
 from laburnumpitch.fleet.target_table import TargetTable
+from laburnumpitch.policy.weight_history import WeightHistory
 
 MODEL = "m"
 WAIT_S = 15.0
@@ -95,6 +96,8 @@
             state_machine=SimpleNamespace(state=state),
         )
         self.max_loading = 0
+        self.weight_history = WeightHistory()
+        self.weight_history.record(state.weights, time.monotonic())
 
     def check_term(self) -> None:
         """Check that this node leads."""
@@ -107,6 +110,10 @@
         loading = sum(record.is_loading for record in self.targets.get_records())
         self.max_loading = max(self.max_loading, loading)
 
+    def has_only_newer_than(self, version: int) -> bool:
+        """Whether every engine has weights newer than a version."""
+        return min(self.list_versions()) > version
+
     def list_versions(self) -> set[int]:
         """Return the weight versions that are published to the nodes."""
         return {record.versions[MODEL] for record in self.targets.get_records()}
@@ -153,6 +160,28 @@
             self.assertEqual([3], engine.tokens)
         self.assertEqual(2, publisher.max_loading)
 
+    def test_versions_in_succession(self) -> None:
+        """Guards against engines that keep an old version while new ones are set.
+
+        The first engines were due again with each version, and loaded first.
+        """
+        names = [f"e{number}" for number in range(5)]
+        publisher = StandInPublisher(names)
+        engines = StandInEngines({name: StandInEngine(**self.engine) for name in names})
+        handle_order = engines.order_weights
+        weights = publisher.replica.state_machine.state.weights
+
+        async def set_version_after_order(target: TargetRecord, order) -> str:
+            try:
+                return await handle_order(target, order)
+            finally:
+                weights[MODEL] += 1
+
+        engines.order_weights = set_version_after_order
+        self.run_controller(
+            publisher, engines, lambda: publisher.has_only_newer_than(1)
+        )
+
     def test_lost_lease(self) -> None:
         """No order is sent once another node may lead."""
         publisher = StandInPublisher(["e0"])
