Begin a new epoch of shared context when an organisation is isolated

Cause: the salt that separates kept context followed from the requester's own `is_isolated`. What an organisation had made under the common salt stayed under it. Also, the salt was made from the organisation as it was when the request was admitted, so a waiting request could make shared context after the change.

Ruled out: a node that had not applied the configuration (all nodes sent the same salt, 4 s after the acknowledgement).

Change: the replicated log holds an epoch of shared context and the organisations that have shared any in it. A configuration that isolates one of them begins a new epoch, which is part of the common salt. Nodes receive it with the configuration, in memory and on disk. Salts follow from the configuration in force at the time of sending.

Why it works: no request of another organisation uses a salt under which the isolated one may have made context; the state is committed, so all nodes agree after a loss of all memory.

--- a/src/laburnumpitch/fleet/fleet_publisher.py
+++ b/src/laburnumpitch/fleet/fleet_publisher.py
@@ -235,6 +235,7 @@
                 else None
             ),
             loads=self.loads.get_totals_of_others(call.node.host),
+            context_epoch=state.context_epoch,
         )
 
     async def run(self) -> None:
--- a/src/laburnumpitch/fleet/fleet_state.py
+++ b/src/laburnumpitch/fleet/fleet_state.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ..policy.context_sharing import ContextSharing
 from .messages import StoreBuilds, StoreConfiguration, StoreWeights
 
 
@@ -19,6 +20,10 @@
     """Text of the newest configuration, compressed; empty before the first one."""
     weights: dict[str, int] = field(default_factory=dict)
     """Desired weight version by model, as operators set it."""
+    context_epoch: int = 0
+    """Epoch of shared kept context."""
+    context_sharers: list[str] | None = None
+    """Organisations that have shared context in this epoch; None if not known."""
     builds: dict[str, dict[str, bool]] = field(default_factory=dict)
     """Builds of each service that may have begun a stream, or may soon; and whether
     streams may begin on them."""
@@ -55,10 +60,29 @@
         """Store a configuration if its version is the highest so far."""
         state = self.state
         if command.version > state.configuration_version or not state.configuration:
+            self.update_context_sharing(command)
             state.configuration_version = command.version
             state.configuration = command.packed
         return state.configuration_version
 
+    def update_context_sharing(self, command: StoreConfiguration) -> None:
+        """Begin a new epoch of shared context if a configuration requires it."""
+        state = self.state
+        sharers = state.context_sharers
+        if sharers is not None:
+            sharing = ContextSharing(state.context_epoch, frozenset(sharers))
+        elif state.configuration:
+            sharing = ContextSharing(state.context_epoch, None)
+        else:
+            sharing = ContextSharing()
+        if command.sharing is None or command.isolated is None:
+            sharing = sharing.forget()
+        else:
+            sharing = sharing.apply(command.version, command.sharing, command.isolated)
+        state.context_epoch = sharing.epoch
+        known = sharing.sharers
+        state.context_sharers = None if known is None else sorted(known)
+
     def on_store_weights(self, command: StoreWeights) -> int:
         """Store a weight version if it is the model's highest so far."""
         known_version = self.state.weights.get(command.model, 0)
--- a/src/laburnumpitch/fleet/fleet_view.py
+++ b/src/laburnumpitch/fleet/fleet_view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import random
 import zlib
 from collections.abc import Callable
@@ -181,7 +182,7 @@
                 self.apply_facts(answer.facts)
         if answer.configuration:
             with contain_errors("fleet_view"):
-                self.apply_configuration(answer.configuration)
+                self.apply_configuration(answer.configuration, answer.context_epoch)
         if is_unchanged and not answer.configuration:
             with contain_errors("fleet_view"):
                 self.on_other_loads()
@@ -211,7 +212,10 @@
         if facts is None or not self.packed_configuration:
             return None
         return FleetSnapshot(
-            self.packed_configuration, self.targets.get_records(), facts
+            self.packed_configuration,
+            self.targets.get_records(),
+            facts,
+            self.configuration.context_epoch if self.configuration else 0,
         )
 
     def apply_snapshot(self, snapshot: FleetSnapshot) -> None:
@@ -224,7 +228,7 @@
         if self.facts is None:
             self.apply_facts(snapshot.facts)
         self.targets.apply_changes(snapshot.targets, self.get_time_s())
-        self.apply_configuration(snapshot.configuration)
+        self.apply_configuration(snapshot.configuration, snapshot.context_epoch)
         self.notify_listeners()
 
     def apply_facts(self, facts: FleetFacts) -> None:
@@ -250,8 +254,13 @@
             if self.targets.mark_not_announcing(target_id):
                 self.log.info("target_silent", target=target_id)
 
-    def apply_configuration(self, packed: bytes) -> None:
-        """Put a configuration in force if it is newer than the present one."""
+    def apply_configuration(self, packed: bytes, context_epoch: int) -> None:
+        """Put a configuration in force if it is newer than the present one.
+
+        Args:
+            packed: Its text, compressed.
+            context_epoch: Epoch of shared kept context under it.
+        """
         try:
             configuration = self.decode_configuration(zlib.decompress(packed))
         except (InvalidConfigurationError, zlib.error) as error:
@@ -260,11 +269,14 @@
         current = self.configuration
         if current is not None and configuration.version <= current.version:
             return
-        self.configuration = configuration
+        self.configuration = dataclasses.replace(
+            configuration, context_epoch=context_epoch
+        )
         self.packed_configuration = packed
         self.log.info(
             "configuration_in_force",
             version=configuration.version,
             before=current.version if current else None,
             routes=len(configuration.routes),
+            context_epoch=context_epoch,
         )
--- a/src/laburnumpitch/fleet/leader_service.py
+++ b/src/laburnumpitch/fleet/leader_service.py
@@ -185,13 +185,19 @@
         ):
             packed = zlib.compress(call.body, COMPRESSION_LEVEL)
             version = await replica.propose(
-                StoreConfiguration(configuration.version, packed)
+                StoreConfiguration(
+                    configuration.version,
+                    packed,
+                    sharing=configuration.list_organisations(is_isolated=False),
+                    isolated=configuration.list_organisations(is_isolated=True),
+                )
             )
             self.log.info(
                 "configuration_stored",
                 version=configuration.version,
                 in_force=version,
                 bytes=len(packed),
+                context_epoch=state.context_epoch,
             )
             publisher.publish()
         if configuration.version == state.configuration_version:
--- a/src/laburnumpitch/fleet/messages.py
+++ b/src/laburnumpitch/fleet/messages.py
@@ -141,6 +141,8 @@
     """Compressed text; committed, but perhaps not the newest."""
     targets: list[TargetRecord]
     facts: FleetFacts
+    context_epoch: int = 0
+    """Epoch of shared kept context under the configuration."""
 
 
 class Hello(Message):
@@ -180,6 +182,8 @@
     """The fleet's facts, if they are newer than the node's."""
     loads: dict[str, FleetLoad]
     """Load of the other nodes at each target, some hundred milliseconds old."""
+    context_epoch: int = 0
+    """Epoch of shared kept context under the configuration."""
 
 
 class TargetUnreachable(Message):
@@ -344,6 +348,10 @@
     version: int
     packed: bytes
     time_s: float = 0.0
+    sharing: list[str] | None = None
+    """Organisations that share kept context; None from software that does not say."""
+    isolated: list[str] | None = None
+    """Organisations that share none; None from software that does not say."""
 
 
 class StoreWeights(Message):
--- a/src/laburnumpitch/fleet/snapshot_file.py
+++ b/src/laburnumpitch/fleet/snapshot_file.py
@@ -5,6 +5,8 @@
 import asyncio
 from pathlib import Path
 
+from msgspec.structs import replace
+
 from ..control.log_store import decode_record, encode_record, replace_file_durably
 from ..errors import CodecError
 from ..logging import get_logger
@@ -52,9 +54,13 @@
             await self.change_event.wait()
             self.change_event.clear()
             snapshot = self.fleet_view.make_snapshot()
-            if snapshot is not None and snapshot != written:
-                written = snapshot
-                await self.write(snapshot)
+            if snapshot is not None:
+                # The ages alone, which grow all the time, are no reason to write.
+                facts = replace(snapshot.facts, weight_ages={})
+                state = replace(snapshot, facts=facts)
+                if state != written:
+                    written = state
+                    await self.write(snapshot)
             await asyncio.sleep(MIN_WRITE_INTERVAL_S)
 
     async def write(self, snapshot: FleetSnapshot) -> None:
--- a/src/laburnumpitch/relay/configuration.py
+++ b/src/laburnumpitch/relay/configuration.py
@@ -134,6 +134,8 @@
     services: tuple[Service, ...]
     limits: Limits
     organisations: tuple[Organisation, ...]
+    context_epoch: int = 0
+    """Epoch of the kept context that organisations share."""
 
     @cached_property
     def routes_by_host(self) -> dict[str, list[Route]]:
@@ -150,6 +152,15 @@
         """The organisation of each API key."""
         return {key: item for item in self.organisations for key in item.keys}
 
+    @cached_property
+    def sharing_names(self) -> frozenset[str]:
+        """Names of the organisations that share context."""
+        return frozenset(self.list_organisations(is_isolated=False))
+
+    def list_organisations(self, is_isolated: bool) -> list[str]:
+        """Return the names of the organisations that are isolated, or of the others."""
+        return [o.name for o in self.organisations if o.is_isolated == is_isolated]
+
     @cached_property
     def services_by_name(self) -> dict[str, Service]:
         """Services and stores by name."""
--- a/src/laburnumpitch/relay/context_planner.py
+++ b/src/laburnumpitch/relay/context_planner.py
@@ -16,6 +16,7 @@
 from ..logging import get_logger
 from ..metrics import Metrics
 from ..transport.rpc import RpcPool
+from .configuration import Organisation, RoutingConfiguration
 from .request import AdmittedRequest, ContextPlan
 from .store_choice import find_store
 
@@ -61,7 +62,9 @@
             version: The target's weight version, or None if it is unknown; the plan
                 uses no store then.
         """
-        salt = make_cache_salt(admitted, target, version)
+        salt = make_cache_salt(
+            self.fleet_view.configuration, admitted.organisation, target, version
+        )
         store = None
         if version is not None:
             key = admitted.metadata.affinity_key
@@ -130,12 +133,28 @@
 
 
 def make_cache_salt(
-    admitted: AdmittedRequest, target: TargetRecord, version: int | None
+    configuration: RoutingConfiguration,
+    requester: Organisation | None,
+    target: TargetRecord,
+    version: int | None,
 ) -> str:
-    """Return the salt that separates weight versions and isolated organisations."""
+    """Return the salt that separates weight versions, and who may share context.
+
+    An organisation shares context only if the configuration in force says so. That it
+    did when the request was admitted is not enough: a request may wait for a target,
+    or go on at another one, and what it makes belongs to the present epoch.
+
+    Args:
+        configuration: The configuration in force.
+        requester: The request's organisation; None without one.
+        target: Where the request is sent.
+        version: The target's weight version, or None if it is unknown.
+    """
     salt = f"v{version}" if version is not None else f"t{target.target_id}"
-    requester = admitted.organisation
-    if requester is not None and requester.is_isolated:
+    if requester is not None and requester.name not in configuration.sharing_names:
         # Quoted, so that each name fits in a header and keeps its own salt.
-        salt = f"{salt}/{quote(requester.name, safe='')}"
+        return f"{salt}/{quote(requester.name, safe='')}"
+    if configuration.context_epoch:
+        # No quoted name contains the separator.
+        return f"{salt}+{configuration.context_epoch}"
     return salt
--- a/tests/fleet/test_fleet_publisher.py
+++ b/tests/fleet/test_fleet_publisher.py
@@ -33,7 +33,11 @@
 def make_publisher() -> FleetPublisher:
     """Return the publisher of a leader without targets."""
     state = SimpleNamespace(
-        configuration_version=1, configuration=b"", weights={}, builds={}
+        configuration_version=1,
+        configuration=b"",
+        context_epoch=0,
+        weights={},
+        builds={},
     )
     replica = SimpleNamespace(
         require_leader=lambda: None,
