Let only streams be resumable, whatever a route's configuration says

Cause: Route.is_retryable took `is_resumable` for routes of any kind, and the field was the configuration's, unchanged.

Change: `is_resumable` asks for the kind, too. Beside it, found while looking at related paths: a run may be repeated only if the route that its path has in the configuration in force allows that, not just the one at its admission.

--- a/src/laburnumpitch/platform/configuration.py
+++ b/src/laburnumpitch/platform/configuration.py
@@ -251,7 +251,7 @@
         max_targets=max(1, wire.max_attempts),
         is_anonymous=wire.anonymous,
         has_context=wire.sticky,
-        is_resumable=wire.resumable,
+        allows_resumption=wire.resumable,
         gap_objective_s=wire.gap_target_ms / MS_PER_S,
     )
 
--- a/src/laburnumpitch/relay/configuration.py
+++ b/src/laburnumpitch/relay/configuration.py
@@ -45,11 +45,17 @@
     """Whether requests need no API key."""
     has_context: bool
     """Whether requests name the pieces of their prompt and use kept context."""
-    is_resumable: bool
-    """Whether a broken stream can continue at another target."""
+    allows_resumption: bool
+    """Whether the configuration says that a broken stream can continue at another
+    target. It may say so of a route of any kind."""
     gap_objective_s: float
     """Latency objective of the pause between two events of a stream."""
 
+    @property
+    def is_resumable(self) -> bool:
+        """Whether its answers are streams that can continue at another target."""
+        return self.kind == STREAMING and self.allows_resumption
+
     @property
     def is_retryable(self) -> bool:
         """Whether a request may run more than once, on one target after another."""
--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -318,8 +318,9 @@
 
     def is_retry_allowed(self) -> bool:
         """Whether the route allows another run after what the client has received."""
-        has_started = self.responder.has_started
-        return self.route.is_retryable and (not has_started or self.route.is_resumable)
+        if self.responder.has_started and not self.route.is_resumable:
+            return False
+        return self.services.is_retryable(self.admitted)
 
     def count_runs_left(self) -> int:
         """Return the number of further targets that may run the request."""
--- a/src/laburnumpitch/relay/services.py
+++ b/src/laburnumpitch/relay/services.py
@@ -88,6 +88,20 @@
         configuration = self.fleet_view.configuration
         return configuration is not None and bool(configuration.organisations)
 
+    def is_retryable(self, admitted: AdmittedRequest) -> bool:
+        """Whether a request may run more than once.
+
+        Its route allowed that when it was admitted, and the route to which its path
+        leads by the configuration in force still does, if there is one.
+        """
+        if not admitted.route.is_retryable:
+            return False
+        configuration = self.fleet_view.configuration
+        if configuration is None:
+            return True
+        route = configuration.find_route(admitted.metadata.host, admitted.request.path)
+        return route is None or route.is_retryable
+
     def make_answer_headers(self, headers: Headers) -> Headers:
         """Return the headers of a target's answer that are passed to the client."""
         return self.translator.make_answer_headers(headers)
--- a/tests/relay/relay_case.py
+++ b/tests/relay/relay_case.py
@@ -70,7 +70,12 @@
     answer: bytes
 
 
-Script = bytes | EndlessAnswer | PacedAnswer | RepeatedAnswer | Crash | None
+@dataclass(frozen=True)
+class HeldClose:
+    """The target closes the connection when its `release` is set."""
+
+
+Script = bytes | EndlessAnswer | PacedAnswer | RepeatedAnswer | Crash | HeldClose | None
 """Bytes of an answer, an answer without end, with pauses or with a copy, a crash, or
 None for no answer."""
 
@@ -89,7 +94,7 @@
         max_targets=2,
         is_anonymous=False,
         has_context=False,
-        is_resumable=False,
+        allows_resumption=False,
         gap_objective_s=0.3,
     )
     return replace(route, **changes)
@@ -101,7 +106,7 @@
         make_route("once", NON_IDEMPOTENT),
         make_route("read", IDEMPOTENT),
         make_route("stream", STREAMING),
-        make_route("resumed", STREAMING, is_resumable=True),
+        make_route("resumed", STREAMING, allows_resumption=True),
     ),
     services=(Service(SERVICE),),
     limits=Limits(),
@@ -140,6 +145,7 @@
         self.connections = 0
         """Number of connections that were opened to it."""
         self.closed = asyncio.Event()
+        self.release = asyncio.Event()
 
     async def start(self) -> int:
         """Listen on a free port and return it."""
@@ -167,6 +173,9 @@
                 if script is None:
                     await reader.read()
                     return
+                if isinstance(script, HeldClose):
+                    await self.release.wait()
+                    return
                 if isinstance(script, Crash):
                     self.server.close()
                     writer.write(script.beginning)
