Reset connections of HTTP/1.0 clients whose answer is not complete

What callers saw (report of another operator, reproduced with raw sockets): a stream that broke off ended as if it were complete.

Cause: HTTP/1.0 has no chunks, so the end of the connection ends the body, and a connection with an incomplete answer was closed like any other.

Ruled out: the text of the next target's error in the stream; HTTP/1.1, where the last chunk was missing in all cases.

Change: while an answer without a length goes to such a client, closing the connection resets it (SO_LINGER), also if the process is killed.

Evidence: BrokenStreamTest without the change: all cases of HTTP/1.0 fail with an orderly end; with it all pass.

--- a/src/laburnumpitch/transport/_socket_state.py
+++ b/src/laburnumpitch/transport/_socket_state.py
@@ -1,10 +1,11 @@
-"""What a connection's socket has received."""
+"""The state of a connection's socket: what it has received, and how it closes."""
 
 from __future__ import annotations
 
 import asyncio
 import fcntl
 import select
+import socket
 import struct
 import termios
 
@@ -24,3 +25,16 @@
         return 0
     packed = fcntl.ioctl(descriptor, termios.FIONREAD, struct.pack("i", 0))
     return max(1, struct.unpack("i", packed)[0])
+
+
+def set_reset_on_close(writer: asyncio.StreamWriter, is_enabled: bool) -> None:
+    """Set whether closing a connection resets it, which its other end then notices.
+
+    Without effect on a connection that is being closed.
+    """
+    if writer.is_closing():
+        return
+    linger = struct.pack("ii", int(is_enabled), 0)
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, linger
+    )
--- a/src/laburnumpitch/transport/responder.py
+++ b/src/laburnumpitch/transport/responder.py
@@ -6,12 +6,16 @@
 
 import h11
 
+from ._socket_state import set_reset_on_close
 from .header_bytes import encode_headers
 from .http_request import Headers
 
 WRITE_TIMEOUT_S = 30.0
 """Timeout of waiting for a client to read what was written."""
 
+HTTP_1_0 = b"1.0"
+"""HTTP version whose answers have no chunks."""
+
 
 class WriteTimeoutError(ConnectionError):
     """The client did not read what was written."""
@@ -33,6 +37,8 @@
         self.has_started = False
         self.has_finished = False
         self.must_close = False
+        self.resets_on_close = False
+        """Whether the connection is reset if it is closed before the answer's end."""
         self.is_head = False
         """Whether the request's method is HEAD, whose answers have no body."""
         self.written_bytes = 0
@@ -50,6 +56,12 @@
             headers = [*headers, ("connection", "close")]
         head = h11.Response(status_code=status, headers=encode_headers(headers))
         self.has_started = True
+        has_length = any(name == "content-length" for name, _ in headers)
+        if not has_length and self.connection.their_http_version == HTTP_1_0:
+            # The client takes the connection's end for that of the body. A reset shows
+            # that the answer is not complete, also if this process is killed.
+            self.resets_on_close = True
+            set_reset_on_close(self.writer, True)
         self.write_event(head)
 
     async def write(self, data: bytes) -> None:
@@ -65,6 +77,8 @@
         """End the answer."""
         self.write_event(h11.EndOfMessage())
         self.has_finished = True
+        if self.resets_on_close:
+            set_reset_on_close(self.writer, False)
         await self.drain()
 
     async def send(self, status: int, headers: Headers, body: bytes) -> None:
--- a/src/laburnumpitch/transport/server_connection.py
+++ b/src/laburnumpitch/transport/server_connection.py
@@ -141,12 +141,17 @@
         )
         sent_bytes = self.last_answer.sent_bytes
         is_idle = self.phase is ConnectionPhase.IDLE
+        must_reset = self.responder.resets_on_close and not self.responder.has_finished
         self.phase = ConnectionPhase.CLOSING
         has_timed_out = isinstance(error, WriteTimeoutError)
         is_lost = False
         try:
             # A request that came to an idle connection too late stays unread.
-            if self.must_linger or not is_idle and self.count_unread_bytes():
+            must_linger = self.must_linger or (
+                not is_idle and self.count_unread_bytes() > 0
+            )
+            # To linger ends the answer in order.
+            if must_linger and not must_reset:
                 await self.linger()
             self.writer.close()
             flush_timeout = asyncio.timeout(0 if has_timed_out else WRITE_TIMEOUT_S)
