Send no error answer to a client whose stream has begun

What callers saw (report of another operator): the text of an error in the middle of a stream. Here the relay tried to send it, and the HTTP library refused; the request ended as an unexpected error, and no other target was tried.

Cause: handle_error_answer and deliver_fallback did not ask whether the answer had begun.

Change: after the first event an error answer is a failure of its target, which may lead to another one; an error kept from before is dropped.

Evidence: test_broken_streams on the commit before: 8 of 26 cases log an unexpected error (statuses 500, 404, 302, and a kept 500, for both HTTP versions); with the change 26 passed.

--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -248,10 +248,13 @@
         """Deliver a target's error answer, or keep it as fallback before a retry.
 
         Raises:
-            TargetError: If another target may succeed, or if the status states that the
-                request has not run without the target confirming it.
+            TargetError: If another target may succeed, if the client has received the
+                beginning of a stream, or if the status states that the request has not
+                run without the target confirming it.
         """
         body = await self.read_body(answer)
+        if self.responder.has_started:
+            raise TargetError(f"the stream broke off, its rest is {answer.status}")
         if answer.status in NOT_RUN_STATUSES:
             raise TargetError("the status for not run is not confirmed")
         if answer.status >= MIN_SERVER_ERROR_STATUS and self.is_retry_allowed():
@@ -279,7 +282,7 @@
         headers = self.services.make_answer_headers(answer.headers)
         gap_timeout_s = get_gap_timeout_s(self.route)
         self.check_incarnation(target)
-        self.stream.on_start = lambda: self.bind_build(target)
+        self.stream.on_start = lambda: self.begin_stream(target)
         async for _ in self.stream.deliver(answer, headers):
             self.record_event(target)
             answer.deadline_s = self.deadlines.choose_deadline_s(gap_timeout_s)
@@ -294,8 +297,13 @@
         if entry is not None and entry.record.born_ms != target.born_ms:
             raise TargetError("the target has restarted")
 
-    def bind_build(self, target: TargetRecord) -> None:
-        """Record which build begins the stream, before its first event goes out."""
+    def begin_stream(self, target: TargetRecord) -> None:
+        """Record that a target begins the stream, before its first event goes out.
+
+        From then on the client can receive no other answer, and the stream goes on only
+        at the target's build.
+        """
+        self.fallback = None
         if not self.route.is_resumable:
             return
         self.build = target.build
--- a/tests/relay/test_broken_streams.py
+++ b/tests/relay/test_broken_streams.py
@@ -98,6 +98,7 @@
             self.assertEqual(1, stream.data.count(b"HTTP/1."), stream.data)
             self.assertNotIn(OTHER_TEXT, stream.data)
             self.assertNotIn(b"failed", stream.body)
+            self.assertEqual([], self.failures)
             if self.http_version == "1.0":
                 self.assertTrue(stream.is_reset, stream.data)
             else:
@@ -121,6 +122,7 @@
             self.assertNotIn(OTHER_TEXT, stream.data)
             self.assertEqual(self.http_version == "1.0", stream.is_reset)
             self.assertFalse(stream.body.endswith(b"0\r\n\r\n"), stream.data)
+            self.assertEqual([], self.failures)
 
         self.run_relay([[make_answer(500, OTHER_TEXT)], [BROKEN_STREAM]], scenario)
 
