Take a stream without events or a marked end for broken

What callers saw (report of another operator): a 200 with an empty or short body, framed as whole, after a target had stopped in the middle of its head.

Cause of what was found beside it: a stream that ends with its connection right behind its head counted as complete.

Change: it counts as broken off, so another target may begin it.

--- a/src/laburnumpitch/relay/stream_relay.py
+++ b/src/laburnumpitch/relay/stream_relay.py
@@ -44,9 +44,12 @@
         resumable stream goes on.
 
         Raises:
-            TargetError: If the stream breaks before its end, or ends inside an event.
+            TargetError: If the stream breaks before its end, ends inside an event, or
+                has no events and no marked end.
         """
+        has_data = False
         async for data in answer.iterate_body():
+            has_data = True
             last_event_id = self.last_event_id
             complete_events = self.splitter.feed(data)
             part = complete_events if self.is_resumable else data
@@ -55,6 +58,9 @@
                 await self.responder.write(part)
             if not self.is_resumable or self.last_event_id != last_event_id:
                 yield
+        if not has_data and not answer.is_framed:
+            # A target that stops behind its head looks the same.
+            raise TargetError("the stream ended before its first event", has_died=True)
         if self.splitter.pending.strip():
             raise TargetError("the stream ended inside an event", has_died=True)
         await self.start(answer.status, headers)
--- a/src/laburnumpitch/transport/http_client.py
+++ b/src/laburnumpitch/transport/http_client.py
@@ -112,6 +112,12 @@
         """Whether the headers state the length of the body."""
         return any(name == "content-length" for name, _ in self.headers)
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the body's end is marked, rather than that of the connection."""
+        is_chunked = any(name == "transfer-encoding" for name, _ in self.headers)
+        return self.has_length or is_chunked
+
     async def iterate_body(self) -> AsyncIterator[bytes]:
         """Yield the body in chunks; return only once the answer is complete.
 
--- a/tests/relay/relay_case.py
+++ b/tests/relay/relay_case.py
@@ -33,6 +33,7 @@
 from laburnumpitch.relay.stream_origins import StreamOrigins
 from laburnumpitch.relay.target_catalog import TargetCatalog
 from laburnumpitch.relay.target_statistics import TargetStatistics
+from laburnumpitch.transport._socket_state import set_reset_on_close
 from laburnumpitch.transport.http_client import HttpClient
 from laburnumpitch.transport.http_server import HttpRequest, HttpServer
 
@@ -70,12 +71,29 @@
     answer: bytes
 
 
+@dataclass(frozen=True)
+class CutAnswer:
+    """The beginning of an answer, after which the connection ends."""
+
+    beginning: bytes
+    is_reset: bool
+
+
 @dataclass(frozen=True)
 class HeldClose:
     """The target closes the connection when its `release` is set."""
 
 
-Script = bytes | EndlessAnswer | PacedAnswer | RepeatedAnswer | Crash | HeldClose | None
+Script = (
+    bytes
+    | CutAnswer
+    | EndlessAnswer
+    | PacedAnswer
+    | RepeatedAnswer
+    | Crash
+    | HeldClose
+    | None
+)
 """Bytes of an answer, an answer without end, with pauses or with a copy, a crash, or
 None for no answer."""
 
@@ -173,6 +191,11 @@
                 if script is None:
                     await reader.read()
                     return
+                if isinstance(script, CutAnswer):
+                    writer.write(script.beginning)
+                    await writer.drain()
+                    set_reset_on_close(writer, script.is_reset)
+                    return
                 if isinstance(script, HeldClose):
                     await self.release.wait()
                     return
