Confirm a target's incarnation before a stream goes on there

Cause: a stream's build was compared with the node's own record of the target. A target that restarts under its identifier with another build was taken for the old one, by every node before its announcement and by a node that had been suspended or cut off for longer.

Ruled out: an origin inferred from an old record of builds (new targets that join while a node is cut off or stands still: no stream joined, before and after the change).

If an announcement shows during a stream that another build serves there, the stream ends and its origin is withdrawn.

--- a/src/laburnumpitch/fleet/engine_client.py
+++ b/src/laburnumpitch/fleet/engine_client.py
@@ -32,6 +32,8 @@
     """Whether an order is in progress."""
     versions: dict[str, int]
     """Weight version by model."""
+    born_ms: int | None = None
+    """Wall time of the engine's start; None if it does not say."""
 
 
 @dataclass(frozen=True)
--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -120,6 +120,7 @@
             settings,
             self.fleet_view,
             self.store_client,
+            self.engine_client,
             self.leader_client,
             self.rpc_pool,
             self.metrics,
--- a/src/laburnumpitch/fleet_relay.py
+++ b/src/laburnumpitch/fleet_relay.py
@@ -6,6 +6,7 @@
 import time
 
 from .clock_sources import get_boottime_s
+from .fleet.engine_client import EngineClient
 from .fleet.fleet_view import FleetView
 from .fleet.leader_client import LeaderClient
 from .fleet.messages import (
@@ -24,6 +25,7 @@
 from .relay.context_planner import ContextPlanner
 from .relay.coordinator import Coordinator
 from .relay.dispatcher import Dispatcher
+from .relay.incarnation_check import IncarnationCheck
 from .relay.placement_client import PlacementClient
 from .relay.relay_api import RelayApi
 from .relay.retry_limiter import RetryLimiter
@@ -41,6 +43,7 @@
         settings: Settings of the node.
         fleet_view: The node's copy of the fleet's state.
         store_client: Calls stores.
+        engine_client: Reads engines' reports.
         leader_client: Finds and calls the leader.
         pool: Connections to other nodes.
         metrics: Records measurements.
@@ -51,6 +54,7 @@
         settings: FleetSettings,
         fleet_view: FleetView,
         store_client: StoreClient,
+        engine_client: EngineClient,
         leader_client: LeaderClient,
         pool: RpcPool,
         metrics: Metrics,
@@ -92,6 +96,7 @@
             HeaderTranslator(),
             retry_limiter,
             self.stream_origins,
+            IncarnationCheck(engine_client.read_report, get_boottime_s),
             leader_client,
             metrics,
             get_time_s,
--- a/src/laburnumpitch/platform/target_client.py
+++ b/src/laburnumpitch/platform/target_client.py
@@ -91,6 +91,8 @@
     busy: bool = False
     """Whether an order is in progress; independent of running requests."""
     models: list[WireModel] = []
+    born: Count | None = None
+    """Wall time of the engine's start in ms."""
 
 
 class WireOrder(msgspec.Struct):
@@ -294,7 +296,7 @@
         )
         wire = decode_answer(content, WireReport)
         versions = {model.name: model.version for model in wire.models}
-        return EngineReport(wire.sequence, wire.busy, versions)
+        return EngineReport(wire.sequence, wire.busy, versions, wire.born)
 
     def check_leaving(self, target: TargetRecord, headers: Headers) -> None:
         """Check whether an engine says in its answer that it is leaving."""
--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -23,7 +23,7 @@
 from .configuration import STREAMING
 from .request import AdmittedRequest, FallbackAnswer
 from .services import RelayServices
-from .stream_origins import StreamOrigin
+from .stream_binding import StreamBinding
 from .stream_relay import StreamRelay
 from .target_sender import TargetSender
 from .timeouts import get_gap_timeout_s, get_start_timeout_s
@@ -57,11 +57,12 @@
         self.responder = responder
         self.route = admitted.route
         self.started_s = admitted.request.received_at_s
+        self.binding = StreamBinding(services, admitted)
         self.deadlines = AnswerDeadlines(
             services,
             self.started_s + admitted.timeout_s,
             self.count_runs_left,
-            lambda: self.build,
+            lambda: self.binding.build,
         )
         self.sender = TargetSender(services, self.deadlines)
         self.excluded: set[str] = set()
@@ -75,9 +76,6 @@
         self.stream = StreamRelay(responder, self.route.is_resumable)
         self.first_event_s: float | None = None
         self.last_target_id = ""
-        self.build = admitted.build
-        """Build that began the stream, the only one that may go on with it; empty
-        before the first event."""
 
     @property
     def remaining_s(self) -> float:
@@ -138,7 +136,7 @@
             self.admitted,
             frozenset(self.excluded),
             self.deadlines.deadline_s,
-            self.build,
+            self.binding.build,
         )
 
     async def send(self, target: TargetRecord) -> None:
@@ -159,6 +157,7 @@
                 resume_after=self.stream.last_event_id,
                 is_retry_allowed=self.is_retry_allowed(),
                 is_rejected=self.rejections > 0,
+                is_bound=bool(self.binding.build),
             )
             await self.handle_answer(target, answer)
             ended_s = services.get_time_s()
@@ -281,36 +280,20 @@
         """
         headers = self.services.make_answer_headers(answer.headers)
         gap_timeout_s = get_gap_timeout_s(self.route)
-        self.check_incarnation(target)
+        self.binding.check_incarnation(target)
         self.stream.on_start = lambda: self.begin_stream(target)
         async for _ in self.stream.deliver(answer, headers):
             self.record_event(target)
+            self.binding.check_progress(target)
             answer.deadline_s = self.deadlines.choose_deadline_s(gap_timeout_s)
 
-    def check_incarnation(self, target: TargetRecord) -> None:
-        """Check that a stream's target has not restarted, maybe with another build.
-
-        Raises:
-            TargetError: If it has announced itself anew since it was chosen.
-        """
-        entry = self.services.fleet_view.targets.entries.get(target.target_id)
-        if entry is not None and entry.record.born_ms != target.born_ms:
-            raise TargetError("the target has restarted")
-
     def begin_stream(self, target: TargetRecord) -> None:
         """Record that a target begins the stream, before its first event goes out.
 
-        From then on the client can receive no other answer, and the stream goes on only
-        at the target's build.
+        From then on the client can receive no other answer.
         """
         self.fallback = None
-        if not self.route.is_resumable:
-            return
-        self.build = target.build
-        self.services.stream_origins.record(
-            self.admitted.metadata.request_id,
-            StreamOrigin(target.service, target.build),
-        )
+        self.binding.begin(target)
 
     def record_event(self, target: TargetRecord) -> None:
         """Record that an event of a stream has arrived, which ends the prefill."""
@@ -326,7 +309,8 @@
 
     def is_retry_allowed(self) -> bool:
         """Whether the route allows another run after what the client has received."""
-        if self.responder.has_started and not self.route.is_resumable:
+        is_resumable = self.route.is_resumable and not self.binding.is_uncertain
+        if self.responder.has_started and not is_resumable:
             return False
         return self.services.is_retryable(self.admitted)
 
--- a/src/laburnumpitch/relay/services.py
+++ b/src/laburnumpitch/relay/services.py
@@ -15,6 +15,7 @@
 from .context_planner import ContextPlanner
 from .crash_reports import CrashReports
 from .dispatcher import Dispatcher
+from .incarnation_check import IncarnationCheck
 from .leader_notices import LeaderNotices
 from .request import AdmittedRequest, Translator
 from .retry_limiter import RetryLimiter
@@ -36,6 +37,7 @@
         translator: Reads and writes the platform's headers.
         retry_limiter: Limits retries.
         stream_origins: Remembers which build began each stream.
+        incarnation_check: Checks that a target has not restarted.
         leader_client: Finds and calls the leader.
         metrics: Records measurements.
         get_time_s: Monotonic time.
@@ -50,6 +52,7 @@
         translator: Translator,
         retry_limiter: RetryLimiter,
         stream_origins: StreamOrigins,
+        incarnation_check: IncarnationCheck,
         leader_client: LeaderClient,
         metrics: Metrics,
         get_time_s: Callable[[], float],
@@ -61,6 +64,7 @@
         self.translator = translator
         self.retry_limiter = retry_limiter
         self.stream_origins = stream_origins
+        self.incarnation_check = incarnation_check
         self.metrics = metrics
         self.get_time_s = get_time_s
         self.clients = HttpClientPool()
--- a/src/laburnumpitch/relay/stream_origins.py
+++ b/src/laburnumpitch/relay/stream_origins.py
@@ -87,8 +87,18 @@
 
         Targets that older software has recorded have no build.
         """
-        if not origin.build:
-            return
+        if origin.build:
+            self.publish(attempt_id, origin)
+
+    def withdraw(self, attempt_id: str, service: str) -> None:
+        """Forget which build began a stream, here and on the nodes that were told.
+
+        The stream may not be taken up then, whatever may be inferred.
+        """
+        self.publish(attempt_id, StreamOrigin(service, ""))
+
+    def publish(self, attempt_id: str, origin: StreamOrigin) -> None:
+        """Store an origin, and tell the nodes that hold it besides this one."""
         self.store(attempt_id, origin)
         notice = StreamBegun(attempt_id, origin.service, origin.build)
         for host in self.rank_holders(attempt_id)[:HOLDERS]:
@@ -162,8 +172,10 @@
         source = "record" if origin is not None else "inferred"
         if origin is None:
             origin = await self.infer_soon(admitted)
-        is_allowed = origin is not None and admitted.route.allows_service(
-            origin.service
+        is_allowed = (
+            origin is not None
+            and bool(origin.build)
+            and admitted.route.allows_service(origin.service)
         )
         outcome = source if is_allowed else "refused"
         self.metrics.count("stream.taken_up")
--- a/src/laburnumpitch/relay/target_sender.py
+++ b/src/laburnumpitch/relay/target_sender.py
@@ -43,6 +43,7 @@
         resume_after: str,
         is_retry_allowed: bool,
         is_rejected: bool,
+        is_bound: bool,
     ) -> HttpAnswer:
         """Write the request and return the answer once its headers have arrived.
 
@@ -54,6 +55,8 @@
             is_rejected: Whether a target rejected this attempt. A copy of the rejection
                 may come on that target's connection, and another target may have the
                 same address, so a new connection is opened.
+            is_bound: Whether the request goes on with a stream, which only the target's
+                build may do.
 
         Raises:
             TargetError: If no answer arrived.
@@ -71,6 +74,9 @@
         elif is_retry_allowed:
             max_idle_s = MAX_IDLE_RETRYABLE_S
         path = f"{request.path}?{request.query}" if request.query else request.path
+        before_write = None
+        if is_bound and services.dispatcher.catalog.get_engine_spec(target.service):
+            before_write = await services.incarnation_check.confirm(target)
         return await services.clients.get(target.address).request(
             request.method,
             path,
@@ -83,6 +89,7 @@
                 MAX_STREAM_BYTES if route.kind == STREAMING else MAX_ANSWER_BYTES
             ),
             max_idle_s=max_idle_s,
+            before_write=before_write,
             connect_timeout_s=PROBE_TIMEOUT_S if is_probe else CONNECT_TIMEOUT_S,
             host=request.get_header("host"),
             extend_deadline=deadlines.extend,
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -81,6 +81,8 @@
     """Weight version at its start; 0 at a target without weights."""
     drain_acknowledged_s: float
     """When a node acknowledged that the target is draining; infinite before that."""
+    build: str = ""
+    """Version of the target's software."""
 
 
 @dataclass(frozen=True)
@@ -160,6 +162,11 @@
         self.version = 1
         self.build = "v1"
         """Version of its software."""
+        self.keeps_id = False
+        """Whether all its incarnations have one id."""
+        self.announces = True
+        """Whether it sends heartbeats."""
+        self.target_id = ""
         self.is_running = False
         self.tasks: set[asyncio.Task] = set()
         self.server: HttpServer | None = None
@@ -167,7 +174,8 @@
 
     async def start(self) -> None:
         """Start a new incarnation, at the port of the previous one."""
-        self.target_id = f"i-{self.name}-{next(_incarnation_numbers)}"
+        if not self.keeps_id or not self.target_id:
+            self.target_id = f"i-{self.name}-{next(_incarnation_numbers)}"
         self.started_at_ms = int(time.time() * 1000)
         self.heartbeat_sequence = 0
         self.order_count = 0
@@ -223,7 +231,8 @@
     async def run_heartbeats(self) -> None:
         """Send heartbeats until cancelled."""
         while True:
-            await self.send_heartbeat()
+            if self.announces:
+                await self.send_heartbeat()
             await asyncio.sleep(HEARTBEAT_INTERVAL_S * self.random.uniform(0.8, 1.2))
 
     async def send_heartbeat(self) -> None:
@@ -326,6 +335,7 @@
             seal,
             self.version if self.has_weights else 0,
             self.drain_acknowledged_s,
+            self.build,
         )
         self.journal.arrivals.append(arrival)
 
@@ -416,6 +426,7 @@
             "models": [{"name": MODEL, "version": self.version, "adapters": []}],
             "busy": self.is_loading,
             "sequence": self.order_count,
+            "born": self.started_at_ms,
         }
         await responder.send(
             200, self.list_leaving_headers(), json.dumps(report).encode()
--- a/tests/fleet/test_joined_streams.py
+++ b/tests/fleet/test_joined_streams.py
@@ -45,8 +45,12 @@
 )
 
 
-class JoinedStreamTest(FleetCase):
-    """Clients take streams up again at other nodes, while two builds serve."""
+class JoinedStreamBase(FleetCase):
+    """Clients that take streams up again, and targets of some builds."""
+
+    configuration = CONFIGURATION
+    keeps_ids = False
+    """Whether all incarnations of a target have one id."""
 
     def setUp(self) -> None:
         super().setUp()
@@ -55,26 +59,32 @@
 
     async def start_targets(self, fleet: Fleet, *builds: str) -> None:
         """Start a target of each build, and wait until streams begin at all of them."""
-        await fleet.put_configuration(fleet.hosts[0], CONFIGURATION)
+        await fleet.put_configuration(fleet.hosts[0], self.configuration)
         self.targets = []
-        for number, build in enumerate(builds):
-            target = PlatformTarget(
-                f"e{number}",
-                "models",
-                True,
-                lambda: [n.settings.control_address for n in fleet.nodes.values()],
-                self.journal,
-                frozenset(),
-                number,
-            )
-            target.build = build
-            await target.start()
-            target.address = f"127.0.0.1:{target.port}"
-            self.targets.append(target)
+        for build in builds:
+            await self.add_target(fleet, build)
         async with asyncio.timeout(WAIT_S):
             for host in fleet.hosts:
                 await self.begin_everywhere(fleet, host, set(builds))
 
+    async def add_target(self, fleet: Fleet, build: str) -> None:
+        """Start a target of a build."""
+        number = len(self.targets)
+        target = PlatformTarget(
+            f"e{number}",
+            "models",
+            True,
+            lambda: [n.settings.control_address for n in fleet.nodes.values()],
+            self.journal,
+            frozenset(),
+            number,
+        )
+        target.build = build
+        target.keeps_id = self.keeps_ids
+        await target.start()
+        target.address = f"127.0.0.1:{target.port}"
+        self.targets.append(target)
+
     async def begin_everywhere(self, fleet: Fleet, host: str, builds: set[str]) -> None:
         """Begin streams at a node until one has begun at each build."""
         begun = set()
@@ -101,10 +111,9 @@
 
     def get_build(self, attempt: str) -> str:
         """Return the build that ran an attempt; empty if none did."""
-        builds = {target.target_id: target.build for target in self.targets}
         for arrival in self.journal.arrivals:
             if arrival.attempt == attempt and arrival.has_run:
-                return builds[arrival.target_id]
+                return arrival.build
         return ""
 
     async def send(
@@ -158,6 +167,10 @@
         for target in self.targets:
             await target.crash()
 
+
+class JoinedStreamTest(JoinedStreamBase):
+    """Streams are taken up again at other nodes, while two builds serve."""
+
     def test_taken_up_at_another_node(self) -> None:
         """Each stream goes on at the build that began it."""
 
--- a/tests/relay/relay_case.py
+++ b/tests/relay/relay_case.py
@@ -10,6 +10,7 @@
 
 import testtools
 
+from laburnumpitch.fleet.engine_client import EngineReport
 from laburnumpitch.fleet.messages import NodeRecord, TargetRecord
 from laburnumpitch.fleet.target_table import TargetTable
 from laburnumpitch.metrics import Metrics
@@ -26,6 +27,7 @@
     Share,
 )
 from laburnumpitch.relay.dispatcher import Dispatcher
+from laburnumpitch.relay.incarnation_check import IncarnationCheck
 from laburnumpitch.relay.relay_api import RelayApi
 from laburnumpitch.relay.request import AdmittedRequest, ContextPlan, RequestMetadata
 from laburnumpitch.relay.retry_limiter import RetryLimiter
@@ -316,6 +318,7 @@
             HeaderTranslator(),
             retry_limiter,
             self.stream_origins,
+            IncarnationCheck(self.read_report, time.monotonic),
             SimpleNamespace(call=self.record_notice),
             Metrics(),
             time.monotonic,
@@ -338,6 +341,10 @@
         for callback in fleet_view.on_change:
             callback()
 
+    async def read_report(self, target: TargetRecord) -> EngineReport:
+        """Return the report of a target that has not restarted."""
+        return EngineReport(0, False, {}, target.born_ms)
+
     async def record_notice(self, notice: object, timeout_s: float) -> None:
         """Record a notice to the leader."""
         self.notices.append(notice)
