Found the cluster by agreement of a majority of the seeds

Cause: one seed decided alone that it founds the cluster, and the others waited for ever for a seed that had answered once. A node that restarted before the founding had forgotten that this was the first start.

Ruled out: other waiting times, which make one case rarer and the other more frequent.

Nodes that kept their disks go on with the first start after a restart.

--- a/src/laburnumpitch/fleet/replica_manager.py
+++ b/src/laburnumpitch/fleet/replica_manager.py
@@ -158,7 +158,11 @@
         self.replica = replica
 
     def wipe(self) -> None:
-        """Delete the files of a replica that is corrupt or was removed."""
+        """Delete the files of a replica that is corrupt or was removed.
+
+        The node must not begin as one of the first voters any more.
+        """
+        self.bootstrap.forget_first_start()
         for path in self.folder.iterdir():
             if path.is_dir():
                 shutil.rmtree(path)
@@ -258,4 +262,3 @@
         self.log.warning("replica_replaced", replica=self.replica.core.replica_id)
         await self.close_replica()
         self.wipe()
-        self.bootstrap.is_first_start = False
--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -16,6 +16,8 @@
 from .fleet.bootstrap import ClusterBootstrap
 from .fleet.build_registry import BuildRegistry
 from .fleet.fleet_view import FleetView
+from .fleet.founding import ClusterFounding
+from .fleet.founding_messages import AcceptFounding, PrepareFounding
 from .fleet.leader_client import LeaderClient
 from .fleet.leader_service import LeaderService
 from .fleet.messages import Hello, NodeRecord
@@ -97,10 +99,20 @@
             settings.announce_interval_s,
             get_boottime_s,
         )
+        self.founding = ClusterFounding(
+            settings.host,
+            settings.seed_hosts,
+            settings.is_first_start,
+            Path(settings.data_folder) if settings.data_folder else None,
+            self.rpc_pool,
+            settings.rpc_port,
+        )
         self.bootstrap = ClusterBootstrap(
             self.node_record,
             settings.seed_hosts,
-            settings.is_first_start,
+            self.founding.may_found,
+            settings.tolerated_losses,
+            self.founding,
             self.rpc_pool,
             settings.rpc_port,
             self.fleet_view.make_snapshot,
@@ -208,6 +220,9 @@
         )
         self.fleet_view.on_change.append(self.apply_client_limits)
         self.rpc_server.on(Hello, self.bootstrap.on_hello)
+        self.rpc_server.on(PrepareFounding, self.founding.on_prepare)
+        self.rpc_server.on(AcceptFounding, self.founding.on_accept)
+        self.founding.start()
         self.relay.register(self.rpc_server)
         self.leader_service.register(self.rpc_server)
         await self.rpc_server.start()
