Let announcements of unknown services end no target

Cause: an address belongs to one target, so any younger announcement ended the older target there, also one of a service that no configuration names.

Change: such an announcement ends nothing, hides nothing and replaces no record of a configured service.

--- a/src/laburnumpitch/fleet/fleet_publisher.py
+++ b/src/laburnumpitch/fleet/fleet_publisher.py
@@ -78,6 +78,7 @@
             needs one node: addresses of stores, and names of services' coordinators.
         get_facts: Returns this node's copy of the facts, from which a new term starts
             so that assignments to live nodes and quarantines stay.
+        is_known_service: Returns whether a service is configured.
         get_time_s: Monotonic time.
     """
 
@@ -87,12 +88,14 @@
         announce_interval_s: float,
         list_assignment_names: Callable[[], list[str]],
         get_facts: Callable[[], FleetFacts | None],
+        is_known_service: Callable[[str], bool],
         get_time_s: Callable[[], float],
     ) -> None:
         self.replica = replica
         self.announce_interval_s = announce_interval_s
         self.list_assignment_names = list_assignment_names
         self.get_facts = get_facts
+        self.is_known_service = is_known_service
         self.get_time_s = get_time_s
         self.log = get_logger()
         self.change_event = asyncio.Event()
@@ -104,7 +107,7 @@
         """Start a term with what nodes know of assignments and quarantines."""
         self.term = term
         self.started_s = self.get_time_s()
-        self.targets = TargetTable(self.announce_interval_s)
+        self.targets = TargetTable(self.announce_interval_s, self.is_known_service)
         known_facts = self.get_facts()
         self.quarantine = Quarantine(known_facts, self.started_s)
         self.quarantine_updated_s = self.started_s
--- a/src/laburnumpitch/fleet/fleet_view.py
+++ b/src/laburnumpitch/fleet/fleet_view.py
@@ -64,7 +64,7 @@
         self.leader_client = leader_client
         self.decode_configuration = decode_configuration
         self.get_time_s = get_time_s
-        self.targets = TargetTable(announce_interval_s)
+        self.targets = TargetTable(announce_interval_s, self.is_known_service)
         self.configuration: RoutingConfiguration | None = None
         self.packed_configuration = b""
         """Text of the configuration in force, compressed."""
@@ -206,6 +206,11 @@
         ages = self.weight_history.get_ages(self.get_time_s())
         return replace(self.facts, weight_ages=ages)
 
+    def is_known_service(self, service: str) -> bool:
+        """Whether the configuration names a service; any, without a configuration."""
+        configuration = self.configuration
+        return configuration is None or service in configuration.services_by_name
+
     def make_snapshot(self) -> FleetSnapshot | None:
         """Return this node's state, or None before the first configuration."""
         facts = self.get_facts()
--- a/src/laburnumpitch/fleet/replica_manager.py
+++ b/src/laburnumpitch/fleet/replica_manager.py
@@ -56,6 +56,7 @@
         get_facts: Returns this node's copy of the fleet's facts; None without any.
         list_members: Returns the members as the leader has published them; none
             without contact with a leader.
+        is_known_service: Returns whether a service is configured.
         get_time_s: Monotonic time.
     """
 
@@ -72,6 +73,7 @@
         list_assignment_names: Callable[[], list[str]],
         get_facts: Callable[[], FleetFacts | None],
         list_members: Callable[[], list[Member]],
+        is_known_service: Callable[[str], bool],
         get_time_s: Callable[[], float],
     ) -> None:
         self.node = node
@@ -85,6 +87,7 @@
         self.list_assignment_names = list_assignment_names
         self.get_facts = get_facts
         self.list_members = list_members
+        self.is_known_service = is_known_service
         self.get_time_s = get_time_s
         self.replica: Replica | None = None
         self.publisher: FleetPublisher | None = None
@@ -152,6 +155,7 @@
             self.announce_interval_s,
             self.list_assignment_names,
             self.get_facts,
+            self.is_known_service,
             self.get_time_s,
         )
         self.publisher_task = start_loop("fleet_publisher", self.publisher.run)
--- a/src/laburnumpitch/fleet/target_table.py
+++ b/src/laburnumpitch/fleet/target_table.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -44,10 +44,17 @@
 
     Args:
         announce_interval_s: Interval of the targets' announcements.
+        is_known_service: Returns whether a service is configured. An announcement of
+            any other service, which may be another writer's, does not end a target.
     """
 
-    def __init__(self, announce_interval_s: float) -> None:
+    def __init__(
+        self,
+        announce_interval_s: float,
+        is_known_service: Callable[[str], bool] = lambda service: True,
+    ) -> None:
         self.announce_interval_s = announce_interval_s
+        self.is_known_service = is_known_service
         self.entries: dict[str, TargetEntry] = {}
         self.sequence = 0
 
@@ -72,6 +79,10 @@
             self.put(record, now_s)
             return True
         previous = entry.record
+        if self.is_known_service(previous.service) and not self.is_known_service(
+            record.service
+        ):
+            return False
         if (record.born_ms, record.sequence) <= (
             previous.born_ms,
             previous.sequence,
@@ -96,7 +107,7 @@
         check_encodable(record)
         self.sequence += 1
         self.entries[record.target_id] = TargetEntry(record, now_s, self.sequence)
-        if record.is_gone:
+        if record.is_gone or not self.is_known_service(record.service):
             return
         for other in list(self.entries.values()):
             is_older = other.record.born_ms < record.born_ms
@@ -108,6 +119,7 @@
         return any(
             other.record.address == record.address
             and other.record.born_ms > record.born_ms
+            and self.is_known_service(other.record.service)
             for other in self.entries.values()
         )
 
--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -156,6 +156,7 @@
             self.list_assignment_names,
             self.fleet_view.get_facts,
             self.list_members,
+            self.fleet_view.is_known_service,
             get_boottime_s,
         )
 
--- a/tests/fleet/test_fleet_publisher.py
+++ b/tests/fleet/test_fleet_publisher.py
@@ -46,7 +46,12 @@
         state_machine=SimpleNamespace(state=state),
     )
     return FleetPublisher(
-        replica, 1.0, list, lambda: None, asyncio.get_running_loop().time
+        replica,
+        1.0,
+        list,
+        lambda: None,
+        lambda service: True,
+        asyncio.get_running_loop().time,
     )
 
 
--- a/tests/fleet/test_target_table.py
+++ b/tests/fleet/test_target_table.py
@@ -121,3 +121,35 @@
         table.apply_announcement(replace(FIRST, build="v1"), 0.0)
         table.apply_announcement(replace(self.record, build="v2"), 0.0)
         self.assertEqual([self.expected], [r.build for r in table.get_records()])
+
+
+class ForeignWriterTest(testtools.TestCase):
+    """Announcements that name a service which is not configured."""
+
+    foreign = replace(SUCCESSOR, service="no-such-service")
+
+    scenarios = [
+        ("after", {"records": [FIRST, foreign]}),
+        ("before", {"records": [foreign, FIRST]}),
+        (
+            "same_identifier",
+            {"records": [FIRST, replace(foreign, target_id="t1")]},
+        ),
+        (
+            "later_announcement",
+            {"records": [FIRST, foreign, replace(FIRST, sequence=6)]},
+        ),
+    ]
+
+    def test_sound_target_stays(self) -> None:
+        """Guards against a sound target that is ended by another writer's entry.
+
+        The entry named its address and a later start.
+        """
+        table = TargetTable(
+            ANNOUNCE_INTERVAL_S, lambda service: service in ("models", "shop")
+        )
+        for record in self.records:
+            table.apply_announcement(record, 0.0)
+        usable = {r.target_id for r in table.get_records() if r.service == "models"}
+        self.assertEqual({"t1"}, usable)
