Let a target that expired come back with its next announcement

Cause: a target without announcements for 30 s was marked as gone like one that said so, and an incarnation that has ended cannot come back.

Change: a record says that it has only expired; a newer announcement of the same incarnation brings the target back at the leader and at the nodes, unless it has said meanwhile that it ended, or a younger target has its address.

Evidence: ExpiredTargetTest.test_comes_back fails on the commit before, passes with the change; 20 tests of the table pass.

--- a/src/laburnumpitch/fleet/messages.py
+++ b/src/laburnumpitch/fleet/messages.py
@@ -52,6 +52,8 @@
     slots: int
     is_leaving: bool = False
     is_gone: bool = False
+    has_expired: bool = False
+    """Whether it counts as gone only since it has not announced itself for long."""
     is_silent: bool = False
     """Whether the target is not announcing itself, or cannot be reached."""
     is_loading: bool = False
--- a/src/laburnumpitch/fleet/target_table.py
+++ b/src/laburnumpitch/fleet/target_table.py
@@ -24,7 +24,8 @@
 announcing (`is_silent`)."""
 
 GONE_TIMEOUT_S = 30.0
-"""Time without an announcement after which a target counts as gone."""
+"""Time without an announcement after which a target counts as gone, until it announces
+itself again."""
 
 
 @dataclass
@@ -86,7 +87,10 @@
         if (record.born_ms, record.sequence) <= (
             previous.born_ms,
             previous.sequence,
-        ) or (previous.is_gone and record.born_ms <= previous.born_ms):
+        ):
+            return False
+        has_ended = previous.is_gone and not previous.has_expired
+        if has_ended and record.born_ms <= previous.born_ms:
             return False
         if record.born_ms == previous.born_ms:
             record = merge_with_previous(record, previous)
@@ -123,12 +127,25 @@
             for other in self.entries.values()
         )
 
-    def mark_gone(self, target_id: str, now_s: float) -> bool:
-        """Mark a target as gone; return whether that changes it."""
+    def mark_gone(
+        self, target_id: str, now_s: float, has_expired: bool = False
+    ) -> bool:
+        """Mark a target as gone; return whether that changes it.
+
+        Args:
+            target_id: The target.
+            now_s: Monotonic time.
+            has_expired: Whether it may only have been cut off, and come back.
+        """
         entry = self.entries.get(target_id)
-        if entry is None or entry.record.is_gone:
+        if (
+            entry is None
+            or entry.record.is_gone
+            and (has_expired or not entry.record.has_expired)
+        ):
             return False
-        self.put(replace(entry.record, is_gone=True), now_s)
+        record = replace(entry.record, is_gone=True, has_expired=has_expired)
+        self.put(record, now_s)
         return True
 
     def apply_changes(self, records: Iterable[TargetRecord], now_s: float) -> None:
@@ -170,7 +187,7 @@
                 if since_last_seen_s > TOMBSTONE_S:
                     del self.entries[target_id]
             elif since_last_seen_s > GONE_TIMEOUT_S:
-                is_changed |= self.mark_gone(target_id, now_s)
+                is_changed |= self.mark_gone(target_id, now_s, has_expired=True)
             elif since_last_seen_s > self.announce_interval_s * MAX_MISSED_INTERVALS:
                 is_changed |= self.mark_not_announcing(target_id)
         return is_changed
@@ -180,8 +197,11 @@
     """Whether a record describes an earlier state than the current one."""
     if record.born_ms != current.born_ms:
         return record.born_ms < current.born_ms
-    if current.is_gone != record.is_gone:
-        return current.is_gone
+    if current.is_gone and not record.is_gone:
+        has_come_back = current.has_expired and record.sequence > current.sequence
+        return not has_come_back
+    if record.is_gone and not current.is_gone:
+        return record.has_expired and record.sequence < current.sequence
     if current.is_leaving and not record.is_leaving:
         return True
     return record.sequence < current.sequence
--- a/tests/fleet/test_target_table.py
+++ b/tests/fleet/test_target_table.py
@@ -7,7 +7,7 @@
 
 from laburnumpitch.errors import CodecError
 from laburnumpitch.fleet.messages import TargetRecord
-from laburnumpitch.fleet.target_table import TargetTable
+from laburnumpitch.fleet.target_table import GONE_TIMEOUT_S, TargetTable
 
 ANNOUNCE_INTERVAL_S = 1.2
 FIRST = TargetRecord("t1", "models", "10.0.0.1:80", "dc1", 1000, 5, 4)
@@ -153,3 +153,56 @@
             table.apply_announcement(record, 0.0)
         usable = {r.target_id for r in table.get_records() if r.service == "models"}
         self.assertEqual({"t1"}, usable)
+
+
+class ExpiredTargetTest(testtools.TestCase):
+    """A target that was cut off for so long that it counted as gone."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.table = TargetTable(ANNOUNCE_INTERVAL_S)
+        self.node_table = TargetTable(ANNOUNCE_INTERVAL_S)
+        self.table.apply_announcement(FIRST, 0.0)
+        self.publish()
+        self.now_s = GONE_TIMEOUT_S + 1.0
+        self.table.check_announcements(self.now_s)
+        self.publish()
+
+    def publish(self) -> None:
+        """Apply all records of the leader at a node."""
+        self.node_table.apply_changes(self.table.get_changes(0), 0.0)
+
+    def list_ids(self) -> list[list[str]]:
+        """Return the targets that the leader and the node know."""
+        return [
+            [record.target_id for record in table.get_records()]
+            for table in (self.table, self.node_table)
+        ]
+
+    def announce(self, **changes) -> None:
+        """Apply an announcement, also at the node."""
+        self.table.apply_announcement(replace(FIRST, **changes), self.now_s)
+        self.publish()
+
+    def test_comes_back(self) -> None:
+        """Guards against ignoring the announcements of a target that was cut off.
+
+        They were acknowledged, but counted as those of an incarnation that had ended.
+        """
+        self.assertEqual([[], []], self.list_ids())
+        self.announce(sequence=5)
+        self.assertEqual([[], []], self.list_ids())
+        self.announce(sequence=6)
+        self.assertEqual([["t1"], ["t1"]], self.list_ids())
+
+    def test_ends_meanwhile(self) -> None:
+        """A target that has ended since then does not come back."""
+        self.table.mark_gone("t1", self.now_s)
+        self.announce(sequence=6)
+        self.assertEqual([[], []], self.list_ids())
+
+    def test_address_is_used_again(self) -> None:
+        """A target whose address has a younger one does not come back."""
+        self.table.apply_announcement(SUCCESSOR, self.now_s)
+        self.announce(sequence=6)
+        self.assertEqual([["t2"], ["t2"]], self.list_ids())
