Clear a request that a target has answered of the deaths of others

Cause: deaths were counted for each request with no regard to time or answers.

Change: after two deaths nodes report an answer to the request, which clears it. A refusal ends after ten minutes; one more death renews it.

Evidence: AnsweredRequestTest and test_answer_to_a_suspect_request_is_reported pass with the change; on the code before they cannot run, since they use its names.

--- a/src/laburnumpitch/fleet/fleet_publisher.py
+++ b/src/laburnumpitch/fleet/fleet_publisher.py
@@ -26,6 +26,7 @@
     FollowAnswer,
     NodeRecord,
     PiecesCompleted,
+    RequestCompleted,
     TargetDied,
     TargetLeaving,
     TargetUnreachable,
@@ -338,6 +339,7 @@
             keepers=self.assignments,
             quarantined_pieces=list(self.quarantine.pieces),
             suspect_pieces=self.quarantine.list_suspect_pieces(),
+            suspect_requests=self.quarantine.list_suspect_requests(),
             leader_host=self.replica.get_leader_name(),
             builds=dict(state.builds) if self.may_record_builds() else None,
         )
@@ -372,13 +374,20 @@
     def update_quarantine(self) -> None:
         """Publish changed quarantines and suspects, at a limited rate."""
         now_s = self.get_time_s()
-        is_idle = not self.quarantine.has_suspicions and not self.quarantine.pieces
-        if is_idle or now_s < self.quarantine_updated_s + QUARANTINE_INTERVAL_S:
+        if (
+            self.quarantine.is_idle
+            or now_s < self.quarantine_updated_s + QUARANTINE_INTERVAL_S
+        ):
             return
         self.quarantine_updated_s = now_s
         self.quarantine.update(now_s)
         self.update_facts()
 
+    def handle_completed_request(self, notice: RequestCompleted) -> None:
+        """Clear a request that a target has answered."""
+        self.check_term()
+        self.quarantine.record_answered(notice.fingerprint)
+
     def handle_completed_pieces(self, notice: PiecesCompleted) -> None:
         """Clear pieces on which a target has completed an answer."""
         self.check_term()
--- a/src/laburnumpitch/fleet/fleet_view.py
+++ b/src/laburnumpitch/fleet/fleet_view.py
@@ -76,6 +76,8 @@
         """Fingerprints of requests that no node runs any more."""
         self.quarantined_pieces: frozenset[str] = frozenset()
         """Pieces of prompts that no node sends to a target any more."""
+        self.suspect_requests: frozenset[str] = frozenset()
+        """Fingerprints of requests of which an answer is reported to the leader."""
         self.suspect_pieces: frozenset[str] = frozenset()
         """Pieces of which a completed answer is reported to the leader."""
         self.assignments: dict[str, str] = {}
@@ -245,6 +247,7 @@
         self.weight_versions = facts.weights
         self.quarantined = frozenset(facts.quarantined)
         self.quarantined_pieces = frozenset(facts.quarantined_pieces)
+        self.suspect_requests = frozenset(facts.suspect_requests)
         self.suspect_pieces = frozenset(facts.suspect_pieces)
         self.assignments = facts.keepers
         self.builds = facts.builds
--- a/src/laburnumpitch/fleet/leader_service.py
+++ b/src/laburnumpitch/fleet/leader_service.py
@@ -32,6 +32,7 @@
     PutConfiguration,
     PutWeights,
     ReadConfiguration,
+    RequestCompleted,
     StoreConfiguration,
     StoreWeights,
     TargetDied,
@@ -83,6 +84,7 @@
         server.on(PutWeights, self.on_put_weights)
         server.on(TargetDied, self.on_target_died)
         server.on(PiecesCompleted, self.on_pieces_completed)
+        server.on(RequestCompleted, self.on_request_completed)
         server.on(TargetUnreachable, self.on_target_unreachable)
         server.on(TargetLeaving, self.on_target_leaving)
         server.on(JoinCore, self.on_join_core)
@@ -126,6 +128,11 @@
         _, publisher = self.require_leader_state()
         publisher.handle_completed_pieces(notice)
 
+    async def on_request_completed(self, notice: RequestCompleted) -> None:
+        """Clear a request that a target has answered."""
+        _, publisher = self.require_leader_state()
+        publisher.handle_completed_request(notice)
+
     async def on_target_unreachable(self, notice: TargetUnreachable) -> None:
         """Handle a node's notice that it cannot reach a target."""
         _, publisher = self.require_leader_state()
--- a/src/laburnumpitch/fleet/messages.py
+++ b/src/laburnumpitch/fleet/messages.py
@@ -127,6 +127,8 @@
     """Pieces of prompts that crash targets."""
     suspect_pieces: list[str] = field(default_factory=list)
     """Pieces that may crash targets; nodes report completed answers on them."""
+    suspect_requests: list[str] = field(default_factory=list)
+    """Fingerprints of requests that may crash targets; nodes report their answers."""
     leader_host: str = ""
     """Host of the leader that published the facts."""
     builds: dict[str, dict[str, bool]] | None = None
@@ -242,6 +244,12 @@
     pieces: list[str]
 
 
+class RequestCompleted(Message):
+    """Reports that a target has answered a suspect request."""
+
+    fingerprint: str
+
+
 class GrantContext(Message):
     """Asks a store's owner which parts a request may read and save there."""
 
--- a/src/laburnumpitch/fleet/quarantine.py
+++ b/src/laburnumpitch/fleet/quarantine.py
@@ -10,6 +10,9 @@
 """Number of targets that died while they ran the same request, from which on the
 request is quarantined, that is refused on all nodes."""
 
+SUSPECT_DEATHS = 2
+"""Number of such targets from which on nodes report an answer to the request."""
+
 MAX_QUARANTINED = 200
 """Maximum number of quarantined requests, and of quarantined pieces; the oldest ones
 are dropped."""
@@ -19,10 +22,11 @@
 dropped."""
 
 MAX_SUSPECT_PIECES = 200
-"""Maximum number of suspect pieces that are published."""
+"""Maximum number of suspect pieces, and of suspect requests, that are published."""
 
-PIECE_QUARANTINE_S = 600.0
-"""Time for which requests with a piece that crashed targets are refused."""
+QUARANTINE_S = 600.0
+"""Time for which a request that crashed targets is refused, as are those with a piece
+that did."""
 
 
 class Quarantine:
@@ -37,10 +41,11 @@
         self.deaths: dict[str, set[str]] = {}
         """Targets' incarnations that died while they ran a request, by the request's
         fingerprint."""
-        self.fingerprints: dict[str, None] = dict.fromkeys(
-            facts.quarantined if facts else ()
+        self.fingerprints: dict[str, float] = dict.fromkeys(
+            facts.quarantined if facts else (), now_s
         )
-        """Fingerprints of quarantined requests, oldest first."""
+        """Time since when each quarantined request is refused, by its fingerprint,
+        oldest first."""
         self.pieces: dict[str, float] = dict.fromkeys(
             facts.quarantined_pieces if facts else (), now_s
         )
@@ -54,13 +59,13 @@
         A target's incarnation counts once for each request.
         """
         incarnation = f"{notice.target_id}/{notice.born_ms}"
-        self.count_death(notice.fingerprint, incarnation)
+        self.count_death(notice.fingerprint, incarnation, now_s)
         if any(piece in self.pieces for piece in notice.pieces):
             self.attribution.record_explained(incarnation, now_s)
         else:
             self.attribution.record_crash(incarnation, notice.pieces, now_s)
 
-    def count_death(self, fingerprint: str, incarnation: str) -> None:
+    def count_death(self, fingerprint: str, incarnation: str, now_s: float) -> None:
         """Count a death for a request, and quarantine the request if it is due."""
         while len(self.deaths) > MAX_SUSPECTS:
             del self.deaths[next(iter(self.deaths))]
@@ -69,23 +74,36 @@
         if len(dead_targets) < MAX_TARGET_DEATHS or fingerprint in self.fingerprints:
             return
         self.log.warning("request_quarantined", fingerprint=fingerprint)
-        self.fingerprints[fingerprint] = None
+        self.fingerprints[fingerprint] = now_s
         while len(self.fingerprints) > MAX_QUARANTINED:
             del self.fingerprints[next(iter(self.fingerprints))]
 
+    def record_answered(self, fingerprint: str) -> None:
+        """Clear a request that a target has answered.
+
+        The targets that died while they ran it had other reasons.
+        """
+        if self.deaths.pop(fingerprint, None) is not None:
+            self.log.info("request_cleared", fingerprint=fingerprint)
+
     def record_completed(self, pieces: list[str]) -> None:
         """Clear pieces on which a target has completed an answer."""
         self.attribution.record_completed(pieces)
 
     @property
-    def has_suspicions(self) -> bool:
-        """Whether a piece was unanswered when a target died lately."""
-        return bool(self.attribution.suspicions)
+    def is_idle(self) -> bool:
+        """Whether nothing is refused or suspected that a later time may change."""
+        return not (self.attribution.suspicions or self.pieces or self.fingerprints)
 
     def update(self, now_s: float) -> None:
         """Quarantine pieces that are proven to crash targets, and release old ones."""
+        for fingerprint, since_s in list(self.fingerprints.items()):
+            if now_s - since_s > QUARANTINE_S:
+                # Its deaths still count, so one more is enough.
+                self.log.info("request_released", fingerprint=fingerprint)
+                del self.fingerprints[fingerprint]
         for piece, since_s in list(self.pieces.items()):
-            if now_s - since_s > PIECE_QUARANTINE_S:
+            if now_s - since_s > QUARANTINE_S:
                 self.log.info("piece_released", piece=piece)
                 del self.pieces[piece]
         while (piece := self.attribution.pop_proven(now_s)) is not None:
@@ -94,6 +112,16 @@
         while len(self.pieces) > MAX_QUARANTINED:
             del self.pieces[next(iter(self.pieces))]
 
+    def list_suspect_requests(self) -> list[str]:
+        """Return the fingerprints of which nodes have to report an answer."""
+        suspects = [
+            fingerprint
+            for fingerprint, dead_targets in self.deaths.items()
+            if len(dead_targets) >= SUSPECT_DEATHS
+            and fingerprint not in self.fingerprints
+        ]
+        return suspects[-MAX_SUSPECT_PIECES:]
+
     def list_suspect_pieces(self) -> list[str]:
         """Return the pieces of which nodes have to report a completed answer.
 
--- a/src/laburnumpitch/relay/crash_reports.py
+++ b/src/laburnumpitch/relay/crash_reports.py
@@ -7,7 +7,7 @@
 
 from ..errors import QuarantinedError, TargetError
 from ..fleet.fleet_view import FleetView
-from ..fleet.messages import PiecesCompleted, TargetDied, TargetRecord
+from ..fleet.messages import PiecesCompleted, RequestCompleted, TargetDied, TargetRecord
 from ..logging import get_logger
 from ..policy.completed_pieces import CompletedPieces
 from ..transport.http_client import HttpClientPool
@@ -70,9 +70,12 @@
         return bool(self.completed.select_incomplete(suspects, self.get_time_s()))
 
     def record_completed(self, admitted: AdmittedRequest) -> None:
-        """Record a complete answer, which clears the pieces of its prompt."""
+        """Record a complete answer, which clears the request and its pieces."""
         pieces = [piece.piece_id for piece in admitted.metadata.shared_pieces]
         self.completed.record(pieces, self.get_time_s())
+        view = self.fleet_view
+        if view.suspect_requests and admitted.fingerprint in view.suspect_requests:
+            self.notices.start(RequestCompleted(admitted.fingerprint))
         cleared = [piece for piece in pieces if piece in self.fleet_view.suspect_pieces]
         if cleared:
             self.notices.start(PiecesCompleted(cleared))
--- a/tests/fleet/test_quarantine.py
+++ b/tests/fleet/test_quarantine.py
@@ -5,7 +5,7 @@
 import testtools
 
 from laburnumpitch.fleet.messages import FleetFacts, TargetDied
-from laburnumpitch.fleet.quarantine import PIECE_QUARANTINE_S, Quarantine
+from laburnumpitch.fleet.quarantine import QUARANTINE_S, Quarantine
 from laburnumpitch.policy.crash_attribution import CONFIRM_S, MIN_CRASHES
 
 from .fleet_case import Fleet, FleetCase, make_configuration, wait_until
@@ -33,7 +33,7 @@
         quarantine.update(proven_s)
         self.assertEqual([PIECE], list(quarantine.pieces))
         self.assertEqual([], quarantine.list_suspect_pieces())
-        quarantine.update(proven_s + PIECE_QUARANTINE_S + 1)
+        quarantine.update(proven_s + QUARANTINE_S + 1)
         self.assertEqual([], list(quarantine.pieces))
 
     def test_late_crash_is_explained(self) -> None:
@@ -48,6 +48,40 @@
         self.assertEqual([], quarantine.list_suspect_pieces())
 
 
+class AnsweredRequestTest(testtools.TestCase):
+    """Targets that die for reasons of their own while they run one request."""
+
+    def crash(self, quarantine: Quarantine, *numbers: int) -> None:
+        """Record deaths of targets that ran the request."""
+        for number in numbers:
+            notice = TargetDied("f", f"t{number}", 1, [])
+            quarantine.record_death(notice, number * INTERVAL_S)
+
+    def test_answered_request_is_not_refused(self) -> None:
+        """Guards against refusing an ordinary request for good.
+
+        Three crashes in the fleet's life did so, however often it was answered.
+        """
+        quarantine = Quarantine(None, 0.0)
+        for number in range(0, 9, 2):
+            self.crash(quarantine, number, number + 1)
+            self.assertEqual(["f"], quarantine.list_suspect_requests())
+            quarantine.record_answered("f")
+            self.assertEqual([], quarantine.list_suspect_requests())
+        self.assertEqual([], list(quarantine.fingerprints))
+
+    def test_deadly_request(self) -> None:
+        """One that is never answered is refused, and after its release at once."""
+        quarantine = Quarantine(None, 0.0)
+        self.crash(quarantine, 0, 1, 2)
+        self.assertEqual(["f"], list(quarantine.fingerprints))
+        self.assertEqual([], quarantine.list_suspect_requests())
+        quarantine.update(QUARANTINE_S + 1.0)
+        self.assertEqual([], list(quarantine.fingerprints))
+        self.crash(quarantine, 3)
+        self.assertEqual(["f"], list(quarantine.fingerprints))
+
+
 class RememberedQuarantineTest(FleetCase):
     """A quarantine outlasts the leader, and a restart of all nodes."""
 
--- a/tests/relay/relay_case.py
+++ b/tests/relay/relay_case.py
@@ -291,6 +291,7 @@
             quarantined=frozenset(),
             quarantined_pieces=frozenset(),
             suspect_pieces=frozenset(),
+            suspect_requests=frozenset(),
             node_count=1,
             sequence=1,
             other_loads={},
--- a/tests/relay/test_crash_reports.py
+++ b/tests/relay/test_crash_reports.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
-from laburnumpitch.fleet.messages import PiecesCompleted, TargetDied
+from dataclasses import replace
 
-from .relay_case import Crash, RelayCase, make_answer
+from laburnumpitch.fleet.messages import PiecesCompleted, RequestCompleted, TargetDied
+from laburnumpitch.transport.http_server import HttpRequest
+
+from .relay_case import CONFIGURATION, Crash, RelayCase, make_answer
 from .test_relay import BROKEN_STREAM, COMPLETE_STREAM, RESUMED_STREAM
 
 PROMPT = "first:10,deadly:20,own:5"
@@ -101,6 +104,28 @@
 
         self.run_relay([[make_answer(), Crash()], [make_answer()]], scenario)
 
+    def test_answer_to_a_suspect_request_is_reported(self) -> None:
+        """The leader learns that a target has answered a request that is suspected."""
+
+        async def scenario() -> None:
+            fingerprint = self.make_fingerprint()
+            self.services.fleet_view.suspect_requests = frozenset({fingerprint})
+            await self.send_request("read")
+            await self.wait_notices()
+            self.assertEqual([RequestCompleted(fingerprint)], self.notices)
+
+        self.run_relay([[make_answer()]], scenario)
+
+    def make_fingerprint(self) -> str:
+        """Return the fingerprint of the request that the tests send."""
+        request = HttpRequest("POST", "/read/x", "q=1", [], b"body", 0.0)
+        admitted = replace(
+            self.make_admitted("read", 0),
+            request=request,
+            organisation=CONFIGURATION.organisations[0],
+        )
+        return admitted.fingerprint
+
     def test_neighbour_is_repeated(self) -> None:
         """A suspect piece that was answered here a moment before is no reason."""
 
