--- a/harness/soak/__main__.py
+++ b/harness/soak/__main__.py
@@ -11,7 +11,7 @@
 import random
 import sys
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from standins.platform_target import Journal, PlatformTarget
 
@@ -54,6 +54,7 @@
     requests_per_s: float = 60.0
     fault_interval_s: float = 1.5
     change_interval_s: float = 0.7
+    unplanned_share: float = UNPLANNED_SHARE
 
 
 async def run_soak(
@@ -134,7 +135,7 @@
         asyncio.create_task(clients.run(options.requests_per_s)),
         asyncio.create_task(operator.run(options.change_interval_s)),
     ]
-    unplanned_s = seconds * UNPLANNED_SHARE
+    unplanned_s = seconds * options.unplanned_share
     fault_task = asyncio.create_task(
         injector.run(options.fault_interval_s, unplanned_s)
     )
@@ -202,8 +203,20 @@
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--nodes", type=int, default=SoakOptions.nodes)
     parser.add_argument("--disks", type=int, default=SoakOptions.disk_nodes)
+    parser.add_argument(
+        "--planned-only",
+        action="store_true",
+        help="restarts, reloads, releases and changes only, in quick succession",
+    )
     arguments = parser.parse_args()
     options = SoakOptions(arguments.nodes, arguments.disks)
+    if arguments.planned_only:
+        options = replace(
+            options,
+            unplanned_share=0.0,
+            fault_interval_s=options.fault_interval_s / 3,
+            change_interval_s=options.change_interval_s / 2,
+        )
     has_failed = False
     for seed in parse_seeds(arguments.seeds):
         history, injector = asyncio.run(run_soak(seed, arguments.seconds, options))
--- a/harness/soak/fault_injector.py
+++ b/harness/soak/fault_injector.py
@@ -28,6 +28,11 @@
 MAX_RELOAD_DELAY_S = 0.5
 """Longest time from the stop of a node to a reload of the settings."""
 
+MAX_RELOADS = 4
+"""Maximum number of SIGHUP signals in a row."""
+
+MAX_RELOAD_PAUSE_S = 0.3
+
 RELEASE = "release"
 """Name under which a release of a build is affected; one runs at a time."""
 
@@ -84,11 +89,13 @@
             self.replace_target,
             self.release_build,
             self.change_seeds,
+            self.reload_nodes,
         ]
         all_faults: list[Callable[[], Awaitable[None]]] = [
             self.kill_node,
             self.freeze_node,
             self.stop_node,
+            self.reload_nodes,
             self.wipe_node,
             self.replace_node,
             self.kill_disk_nodes,
@@ -259,6 +266,14 @@
             if self.random.random() < 0.5 and node.is_running:
                 node.signal(signal.SIGHUP)
 
+    async def reload_nodes(self) -> None:
+        """Send SIGHUP to nodes, as planned work, some of them several times."""
+        for _ in range(self.random.randint(1, MAX_RELOADS)):
+            host = self.random.choice(self.fleet.hosts)
+            if self.fleet.reload(host):
+                self.record_event(f"reload {host}", is_planned=True)
+            await asyncio.sleep(self.random.uniform(0.0, MAX_RELOAD_PAUSE_S))
+
     async def crash_target(self) -> None:
         """Crash a target and start it again at the same address."""
         if target := self.reserve_target():
--- a/harness/soak/fleet.py
+++ b/harness/soak/fleet.py
@@ -5,6 +5,7 @@
 import json
 import os
 import shutil
+import signal
 import time
 from pathlib import Path
 
@@ -175,6 +176,14 @@
         self.nodes[host].is_frozen = False
         self.nodes[host].thaw()
 
+    def reload(self, host: str) -> bool:
+        """Send SIGHUP to a node; return whether its process runs."""
+        node = self.nodes.get(host)
+        if node is None or node.popen is None or node.popen.poll() is not None:
+            return False
+        node.popen.send_signal(signal.SIGHUP)
+        return True
+
     def list_control_addresses(self) -> list[str]:
         """Return the control addresses of all nodes."""
         return [f"{host}:{self.control_port}" for host in self.hosts]
