Deliver the kept error answer if the budget allows no retry

Cause: when the budget refused a retry, the failure was raised only if no error answer was kept; with one, the loop checked everything but the budget again.

Change: the decision is kept and used.

Evidence: SpentBudgetTest fails on the commit before (the request reaches two targets), passes with the change; 11 tests of test_retried_kinds passed.

--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -72,6 +72,8 @@
         """Number of targets that may have run the request."""
         self.rejections = 0
         """Number of targets that rejected the request or were unreachable."""
+        self.may_retry = True
+        """Whether the request may be sent again after its last failure."""
         self.fallback: FallbackAnswer | None = None
         self.stream = StreamRelay(responder, self.route.is_resumable)
         self.first_event_s: float | None = None
@@ -118,7 +120,8 @@
                 self.handle_rejection(target, error)
             except TargetError as error:
                 self.handle_failure(target, error)
-            if self.fallback is not None and not self.has_retry_left():
+            may_retry = self.may_retry and self.has_retry_left()
+            if self.fallback is not None and not may_retry:
                 await self.deliver_fallback()
                 return
 
@@ -375,7 +378,8 @@
             has_begun = not self.is_prefill_pending
             services.crash_reports.start_report(self.admitted, target, has_begun)
         self.stream.discard_pending()
-        if self.has_retry_left() and services.try_spend_retry(self.admitted.service):
-            return
-        if self.fallback is None:
+        self.may_retry = self.has_retry_left() and services.try_spend_retry(
+            self.admitted.service
+        )
+        if not self.may_retry and self.fallback is None:
             raise error
--- a/tests/relay/test_retried_kinds.py
+++ b/tests/relay/test_retried_kinds.py
@@ -75,3 +75,26 @@
             self.assertEqual(self.runs, sum(self.count_requests()))
 
         self.run_relay([[HeldClose()], [make_answer()]], scenario)
+
+
+class SpentBudgetTest(RelayCase):
+    """The budget of retries is spent when a target fails."""
+
+    scenarios = [
+        ("error", {"answer": make_answer(500), "status": 500}),
+        ("lost", {"answer": b"", "status": 502}),
+    ]
+
+    def test_no_retry(self) -> None:
+        """Guards against a retry that the budget does not allow.
+
+        An error answer that was kept for the client led to one.
+        """
+
+        async def scenario() -> None:
+            self.services.retry_limiter.try_spend = lambda service: False
+            status, _, _ = await self.send_request("read")
+            self.assertEqual(self.status, status)
+            self.assertEqual([1, 0], self.count_requests())
+
+        self.run_relay([[self.answer], [make_answer()]], scenario)
