Look up the route of a retry once for each configuration

The check whether a request may still be repeated runs for each event of a stream and searched the routes of the configuration in force each time; a configuration may have hundreds. Now a run looks again only when the configuration has changed since its admission.

Found by reading the diff, not measured. test_retried_kinds 11, test_relay 32, test_broken_streams 26, test_silent_targets 64 passed.

--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -20,7 +20,7 @@
     states_leaving,
 )
 from .answer_deadlines import AnswerDeadlines
-from .configuration import STREAMING
+from .configuration import STREAMING, RoutingConfiguration
 from .request import AdmittedRequest, FallbackAnswer
 from .services import RelayServices
 from .stream_binding import StreamBinding
@@ -72,6 +72,9 @@
         """Number of targets that may have run the request."""
         self.rejections = 0
         """Number of targets that rejected the request or were unreachable."""
+        self.is_retryable = self.route.is_retryable
+        """Whether `checked_configuration` lets the request run more than once."""
+        self.checked_configuration: RoutingConfiguration | None = None
         self.may_retry = True
         """Whether the request may be sent again after its last failure."""
         self.fallback: FallbackAnswer | None = None
@@ -315,7 +318,12 @@
         is_resumable = self.route.is_resumable and not self.binding.is_uncertain
         if self.responder.has_started and not is_resumable:
             return False
-        return self.services.is_retryable(self.admitted)
+        configuration = self.services.fleet_view.configuration
+        if configuration is not self.checked_configuration:
+            # Asked for each event of a stream, and a configuration has many routes.
+            self.checked_configuration = configuration
+            self.is_retryable = self.services.is_retryable(self.admitted)
+        return self.is_retryable
 
     def count_runs_left(self) -> int:
         """Return the number of further targets that may run the request."""
--- a/src/laburnumpitch/relay/services.py
+++ b/src/laburnumpitch/relay/services.py
@@ -101,7 +101,10 @@
         if not admitted.route.is_retryable:
             return False
         configuration = self.fleet_view.configuration
-        if configuration is None:
+        if (
+            configuration is None
+            or configuration.version == admitted.configuration_version
+        ):
             return True
         route = configuration.find_route(admitted.metadata.host, admitted.request.path)
         return route is None or route.is_retryable
