Soak: send SIGHUP only to processes that have begun

Trace: its output has no line after that of the incarnation before, so the signal came while the interpreter was starting, before the program's first line, which ignores it. Nothing in the program can act earlier. The harness now asks the kernel whether the process ignores or catches the signal.

--- a/harness/process.py
+++ b/harness/process.py
@@ -74,6 +74,20 @@
         if self.is_running:
             os.kill(self.popen.pid, number)
 
+    def handles(self, number: int) -> bool:
+        """Whether the process ignores or catches a signal, as it does once it has begun.
+
+        Before that, while the interpreter starts, the signal would end it.
+        """
+        if not self.is_running:
+            return False
+        status = Path(f"/proc/{self.popen.pid}/status").read_text()
+        masks = dict(
+            line.split(":\t", 1) for line in status.splitlines() if ":\t" in line
+        )
+        handled = int(masks.get("SigIgn", "0"), 16) | int(masks.get("SigCgt", "0"), 16)
+        return bool(handled >> (number - 1) & 1)
+
     def kill(self) -> None:
         """Kill the process and wait for its end."""
         self.is_stopped = True
--- a/harness/soak/fleet.py
+++ b/harness/soak/fleet.py
@@ -177,11 +177,11 @@
         self.nodes[host].thaw()
 
     def reload(self, host: str) -> bool:
-        """Send SIGHUP to a node; return whether its process runs."""
+        """Send SIGHUP to a node; return whether its process runs, and handles it."""
         node = self.nodes.get(host)
-        if node is None or node.popen is None or node.popen.poll() is not None:
+        if node is None or not node.handles(signal.SIGHUP):
             return False
-        node.popen.send_signal(signal.SIGHUP)
+        node.signal(signal.SIGHUP)
         return True
 
     def list_control_addresses(self) -> list[str]:
