--- a/harness/process.py
+++ b/harness/process.py
@@ -75,7 +75,7 @@
             os.kill(self.popen.pid, number)
 
     def handles(self, number: int) -> bool:
-        """Whether the process ignores or catches a signal, as it does once it has begun.
+        """Whether the process ignores or catches a signal, as it does once it began.
 
         Before that, while the interpreter starts, the signal would end it.
         """
