--- a/tests/fleet/test_build_registry.py
+++ b/tests/fleet/test_build_registry.py
@@ -44,7 +44,12 @@
 
         async def run() -> None:
             self.publisher = FleetPublisher(
-                self.replica, 1.0, list, lambda: None, lambda: self.now_s
+                self.replica,
+                1.0,
+                list,
+                lambda: None,
+                lambda service: True,
+                lambda: self.now_s,
             )
             self.publisher.check_term()
             self.registry = BuildRegistry(
