Allowed regions of routes and organisations

Cause: the prompts of some organisations and routes, and the context kept of them, have to stay in certain regions; targets and stores of all regions were used alike.

Change: allowed_regions of routes and tenants is decoded; policy/regions.py combines the restrictions, relay/region_rules.py finds them in the configuration in force. The catalogue's lists, its check of a target, the choice of the store, reservations and queues take them into account, PlaceCall passes them to the coordinator.

Ruled out: excluded targets in the call (10 kB a request with 720 engines), the restriction as at admission (a queued request could leave its region later).

Without allowed_regions no list and no choice changes.

--- a/src/laburnumpitch/fleet/messages.py
+++ b/src/laburnumpitch/fleet/messages.py
@@ -307,6 +307,8 @@
     """Whether the answer is a stream that may go on at another target."""
     build: str = ""
     """Build that the target must have, since it began the stream; empty for any."""
+    allowed_regions: tuple[str, ...] | None = None
+    """Regions that the target may be in; None without a restriction."""
 
 
 class PlaceAnswer(Message):
--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -315,16 +315,18 @@
         return self.fleet_view.configuration is not None and not self.is_stopping
 
     def reload_seed_hosts(self) -> None:
-        """Apply a change of the seeds in the settings file."""
+        """Apply a change of the seeds, or of the regions, in the settings file."""
         try:
             mtime_s = os.stat(self.settings_path).st_mtime
             if mtime_s == self.settings_mtime_s:
                 return
             self.settings_mtime_s = mtime_s
-            new_seeds = read_settings(self.settings_path).seed_hosts
+            settings = read_settings(self.settings_path)
         except (SettingsError, OSError) as error:
             self.log.error("reload_failed", detail=str(error))
             return
+        self.relay.region_rules.update(settings.regions_by_data_centre)
+        new_seeds = settings.seed_hosts
         if new_seeds != self.current_seeds:
             self.log.info("seeds_changed", seeds=",".join(new_seeds))
             self.current_seeds = new_seeds
--- a/src/laburnumpitch/fleet_relay.py
+++ b/src/laburnumpitch/fleet_relay.py
@@ -27,6 +27,7 @@
 from .relay.dispatcher import Dispatcher
 from .relay.incarnation_check import IncarnationCheck
 from .relay.placement_client import PlacementClient
+from .relay.region_rules import RegionRules
 from .relay.relay_api import RelayApi
 from .relay.retry_limiter import RetryLimiter
 from .relay.services import RelayServices
@@ -64,12 +65,16 @@
         get_time_s = time.monotonic
         statistics = TargetStatistics(get_time_s)
         fleet_view.get_local_loads = statistics.get_loads
+        self.region_rules = RegionRules(
+            fleet_view, settings.regions_by_data_centre, metrics
+        )
         catalog = TargetCatalog(
             fleet_view,
             statistics,
             get_time_s,
             settings.outdated_weights_s,
             settings.drain_s,
+            self.region_rules,
         )
         self.coordinator = Coordinator(catalog, get_time_s, random_source)
         self.placement_client = PlacementClient(
@@ -86,7 +91,9 @@
             get_time_s,
         )
         self.store_owners = StoreOwners(fleet_view, store_client, get_boottime_s)
-        planner = ContextPlanner(fleet_view, self.store_owners, pool, port, metrics)
+        planner = ContextPlanner(
+            fleet_view, self.store_owners, pool, port, metrics, self.region_rules
+        )
         self.stream_origins = StreamOrigins(fleet_view, pool, port, metrics, get_time_s)
         self.services = RelayServices(
             fleet_view,
--- a/src/laburnumpitch/metrics.py
+++ b/src/laburnumpitch/metrics.py
@@ -54,6 +54,18 @@
     ),
     Metric("stream.unknown", "counter", "streams", "Of these, of unknown origin."),
     Metric("place.unanswered", "counter", "calls", "Unanswered calls of coordinators."),
+    Metric(
+        "region.no_target",
+        "counter",
+        "requests",
+        "Restricted requests without a target in an allowed region.",
+    ),
+    Metric(
+        "region.placement_declined",
+        "counter",
+        "placements",
+        "Placements of coordinators outside the allowed regions.",
+    ),
     Metric("task.failed", "counter", "errors", "Unexpected errors of tasks."),
     Metric("quarantine.fingerprints", "gauge", "fingerprints", "Quarantined requests."),
 )
--- a/src/laburnumpitch/platform/configuration.py
+++ b/src/laburnumpitch/platform/configuration.py
@@ -77,6 +77,8 @@
     """Whether requests name the pieces of their prompt and use kept context."""
     resumable: bool = False
     gap_target_ms: DurationMs = DEFAULT_GAP_OBJECTIVE_MS
+    allowed_regions: list[str] = []
+    """Regions that its requests may be served in; empty for any."""
 
 
 class WireModel(msgspec.Struct):
@@ -129,6 +131,8 @@
     api_keys: list[str] = []
     priority: Integer | None = None
     isolated: bool = False
+    allowed_regions: list[str] = []
+    """Regions that its requests may be served in; empty for any."""
 
 
 class WireConfiguration(msgspec.Struct):
@@ -168,7 +172,13 @@
             wire.limits.idle_timeout_ms / MS_PER_S,
         ),
         tuple(
-            Organisation(t.name, tuple(t.api_keys), t.priority, t.isolated)
+            Organisation(
+                t.name,
+                tuple(t.api_keys),
+                t.priority,
+                t.isolated,
+                tuple(t.allowed_regions),
+            )
             for t in wire.tenants
         ),
     )
@@ -253,6 +263,7 @@
         has_context=wire.sticky,
         allows_resumption=wire.resumable,
         gap_objective_s=wire.gap_target_ms / MS_PER_S,
+        allowed_regions=tuple(wire.allowed_regions),
     )
 
 
--- a/src/laburnumpitch/platform/settings_file.py
+++ b/src/laburnumpitch/platform/settings_file.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import tomllib
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Annotated
 
@@ -70,6 +70,8 @@
     internal_ports: Annotated[list[RpcPort], msgspec.Meta(min_length=1)]
     seeds: list[str] = []
     is_bootstrap: bool = False
+    region: str = ""
+    zones: dict[str, str] = {}
     data_dir: str = ""
     heartbeat_ms: Annotated[float, msgspec.Meta(ge=1.0, le=MAX_DURATION_MS)] = 1200
     bounds: WireBounds = msgspec.field(default_factory=WireBounds)
@@ -117,6 +119,8 @@
     """Time after which a VM that has started replaces a lost one."""
     drain_s: float = DRAIN_S
     """Time for which a target that is leaving still serves."""
+    regions_by_data_centre: dict[str, str] = field(default_factory=dict)
+    """Region of each data centre that is known to have one."""
 
 
 def get_host(address: str) -> str:
@@ -150,6 +154,12 @@
     return tuple(dict.fromkeys(get_host(s) for s in seeds if s not in invalid))
 
 
+def make_regions(wire: WireSettings) -> dict[str, str]:
+    """Return the region of each data centre; the node's own one may be left out."""
+    own_region = {wire.zone: wire.region} if wire.region else {}
+    return own_region | wire.zones
+
+
 def read_settings(path: str) -> FleetSettings:
     """Read the settings file.
 
@@ -186,4 +196,5 @@
         tolerated_losses=wire.fault_tolerance.machines,
         catch_up_s=float(bounds.catch_up_s),
         drain_s=bounds.drain_ms / MS_PER_S,
+        regions_by_data_centre=make_regions(wire),
     )
--- a/src/laburnumpitch/relay/answer_deadlines.py
+++ b/src/laburnumpitch/relay/answer_deadlines.py
@@ -134,7 +134,10 @@
             has_budget=services.retry_limiter.has_budget(admitted.service),
             is_suspect=services.crash_reports.is_suspect(admitted),
             has_other_target=catalog.has_other_target(
-                admitted.service, self.get_build(), self.excluded
+                admitted.service,
+                self.get_build(),
+                self.excluded,
+                catalog.region_rules.get_allowed_regions(admitted),
             ),
             remaining_s=self.remaining_s,
             objective_s=admitted.route.objective_s,
@@ -162,14 +165,17 @@
         if self.reserved is None:
             return None
         dispatcher, admitted = self.services.dispatcher, self.reserved.admitted
+        call = dispatcher.make_place_call(admitted, self.excluded, self.get_build())
         target = dispatcher.catalog.find_target(
-            admitted.service, self.reserved.target.target_id, self.get_build()
+            admitted.service,
+            self.reserved.target.target_id,
+            self.get_build(),
+            call.allowed_regions,
         )
         if target is None or target.born_ms != self.reserved.target.born_ms:
             return None
         if self.services.statistics.is_possibly_unreachable(target):
             return None
-        call = dispatcher.make_place_call(admitted, self.excluded, self.get_build())
         return target if dispatcher.catalog.is_eligible(target, call) else None
 
     def take_reserved(self) -> ReservedTarget | None:
--- a/src/laburnumpitch/relay/configuration.py
+++ b/src/laburnumpitch/relay/configuration.py
@@ -50,6 +50,8 @@
     target. It may say so of a route of any kind."""
     gap_objective_s: float
     """Latency objective of the pause between two events of a stream."""
+    allowed_regions: tuple[str, ...] = ()
+    """Regions that its requests may be served in; empty for any."""
 
     @property
     def is_resumable(self) -> bool:
@@ -129,6 +131,8 @@
     """Priority class of its requests; overrides the route's."""
     is_isolated: bool
     """Whether its kept context is shared with no other organisation."""
+    allowed_regions: tuple[str, ...] = ()
+    """Regions that its requests may be served in; empty for any."""
 
 
 @dataclass(frozen=True)
@@ -158,6 +162,11 @@
         """The organisation of each API key."""
         return {key: item for item in self.organisations for key in item.keys}
 
+    @cached_property
+    def organisations_by_name(self) -> dict[str, Organisation]:
+        """The organisation of each name."""
+        return {organisation.name: organisation for organisation in self.organisations}
+
     @cached_property
     def sharing_names(self) -> frozenset[str]:
         """Names of the organisations that share context."""
--- a/src/laburnumpitch/relay/context_planner.py
+++ b/src/laburnumpitch/relay/context_planner.py
@@ -16,7 +16,8 @@
 from ..logging import get_logger
 from ..metrics import Metrics
 from ..transport.rpc import RpcPool
-from .configuration import Organisation, RoutingConfiguration
+from .configuration import Organisation, RoutingConfiguration, StoreSpec
+from .region_rules import RegionRules
 from .request import AdmittedRequest, ContextPlan
 from .store_choice import find_store
 
@@ -34,6 +35,7 @@
         pool: Connections to other nodes.
         rpc_port: Port of every node.
         metrics: Records measurements.
+        region_rules: Finds where requests may be served.
     """
 
     def __init__(
@@ -43,12 +45,14 @@
         pool: RpcPool,
         rpc_port: int,
         metrics: Metrics,
+        region_rules: RegionRules,
     ) -> None:
         self.fleet_view = fleet_view
         self.store_owners = store_owners
         self.pool = pool
         self.rpc_port = rpc_port
         self.metrics = metrics
+        self.region_rules = region_rules
         self.log = get_logger()
 
     async def plan(
@@ -67,8 +71,7 @@
         )
         store = None
         if version is not None:
-            key = admitted.metadata.affinity_key
-            store = find_store(self.fleet_view.configuration, key)
+            store = self.find_store(admitted, target)
         if store is None:
             return ContextPlan(salt)
         pieces = admitted.metadata.shared_pieces
@@ -96,6 +99,18 @@
             grant.read_until_ms,
         )
 
+    def find_store(
+        self, admitted: AdmittedRequest, target: TargetRecord
+    ) -> StoreSpec | None:
+        """Return the store for a request's context, or None if it may use none."""
+        allowed_regions = self.region_rules.get_allowed_regions(admitted)
+        if not self.region_rules.allows(target.data_centre, allowed_regions):
+            # The restriction is newer than the choice of the target.
+            return None
+        key = admitted.metadata.affinity_key
+        configuration = self.fleet_view.configuration
+        return find_store(configuration, key, self.region_rules, allowed_regions)
+
     def cancel_saves(self, admitted: AdmittedRequest, plan: ContextPlan | None) -> None:
         """Tell a store's owner that a request was not sent to its target."""
         if plan is None or not any(plan.destinations):
--- a/src/laburnumpitch/relay/coordinator.py
+++ b/src/laburnumpitch/relay/coordinator.py
@@ -128,7 +128,9 @@
         excluded_ids = {*call.excluded, *call.suspects}
         targets = [
             target
-            for target in self.catalog.get_staying_targets(call.service, call.build)
+            for target in self.catalog.get_staying_targets(
+                call.service, call.build, call.allowed_regions
+            )
             if target.target_id not in excluded_ids
             and self.catalog.is_eligible(target, call)
         ]
--- a/src/laburnumpitch/relay/dispatcher.py
+++ b/src/laburnumpitch/relay/dispatcher.py
@@ -11,14 +11,14 @@
 from ..errors import NoTargetError, OverloadedError
 from ..fleet.load_totals import NO_LOAD
 from ..fleet.messages import FleetLoad, PlaceAnswer, PlaceCall, TargetRecord
-from ..policy.backlog_bound import get_max_backlog_s
 from ..policy.capacity import TargetCapacity, has_capacity
-from ..policy.queue_priority import QueuePriority, can_meet_objective
 from ..policy.send_window import SendWindow
 from ..policy.target_selection import choose_target, estimate_other_nodes_load
+from .place_calls import make_place_call
 from .placement_client import Placement
 from .request import AdmittedRequest
 from .request_queue import QueuedRequest, QueueKey, RequestQueue, make_priority
+from .restricted_queues import apply_restrictions
 from .target_catalog import TargetCatalog
 
 MAX_WAIT_OBJECTIVES = 1.0
@@ -97,6 +97,8 @@
     def on_fleet_change(self) -> None:
         """Update the targets and wake the queues."""
         self.catalog.update()
+        for key in apply_restrictions(self.queue, self.catalog):
+            self.start_dispatching(key)
         self.wake_queues()
 
     def count_queued(self) -> int:
@@ -122,8 +124,11 @@
             NoTargetError: If the service has no such target.
             OverloadedError: If no target had capacity in time.
         """
-        if not self.catalog.has_other_target(admitted.service, build, excluded):
-            raise NoTargetError(f"{admitted.service} has no target")
+        regions = self.catalog.region_rules.get_allowed_regions(admitted)
+        service = admitted.service
+        if not self.catalog.has_other_target(service, build, excluded, regions):
+            self.catalog.region_rules.record_no_target(admitted, regions)
+            raise NoTargetError(f"{service} has no target")
         if not self.has_queue_ahead(admitted, build):
             target = await self.try_acquire(admitted, excluded, build)
             if target is not None:
@@ -132,9 +137,14 @@
 
     def has_queue_ahead(self, admitted: AdmittedRequest, build: str) -> bool:
         """Whether a queued request of the same queue comes before this one."""
-        key = (admitted.service, build)
+        key = self.make_queue_key(admitted, build)
         return self.queue.has_ahead(key, make_priority(admitted))
 
+    def make_queue_key(self, admitted: AdmittedRequest, build: str) -> QueueKey:
+        """Return the queue in which a request waits."""
+        regions = self.catalog.region_rules.get_allowed_regions(admitted)
+        return (admitted.service, build, regions)
+
     async def wait_in_queue(
         self,
         admitted: AdmittedRequest,
@@ -155,7 +165,8 @@
         )
         future = asyncio.get_running_loop().create_future()
         priority = make_priority(admitted)
-        queued = QueuedRequest(priority, admitted, excluded, build, future)
+        regions = self.catalog.region_rules.get_allowed_regions(admitted)
+        queued = QueuedRequest(priority, admitted, excluded, build, future, regions)
         self.queue.add(queued)
         self.start_dispatching(queued.key)
         try:
@@ -227,46 +238,19 @@
         self, admitted: AdmittedRequest, excluded: frozenset[str], build: str
     ) -> PlaceCall:
         """Return the call that requests a placement."""
-        metadata = admitted.metadata
-        priority = make_priority(admitted)
-        backoff_ids = [
-            target.target_id
-            for target in self.catalog.get_targets(admitted.service)
-            if self.statistics.is_in_backoff(target)
-        ]
-        return PlaceCall(
-            service=admitted.service,
-            key=metadata.affinity_key if admitted.route.has_context else "",
-            model=metadata.model,
-            prompt_tokens=metadata.prompt_tokens,
-            shared_tokens=metadata.shared_tokens,
-            output_tokens=metadata.output_tokens,
-            objective_s=admitted.route.objective_s,
-            max_backlog_s=self.get_max_backlog_s(admitted, priority),
-            data_centre=self.fleet_view.node.data_centre,
-            excluded=sorted(
-                excluded.union(self.catalog.list_avoided_ids(admitted.service, build))
-            ),
-            suspects=backoff_ids,
-            is_resumable=admitted.route.is_resumable,
-            build=build,
-        )
-
-    def get_max_backlog_s(
-        self, admitted: AdmittedRequest, priority: QueuePriority
-    ) -> float:
-        """Return the largest prefill backlog that a request may find at its target."""
-        kinds = self.fleet_view.configuration.context_kinds.get(admitted.service, ())
-        is_late = not can_meet_objective(priority, self.get_time_s())
-        return get_max_backlog_s(admitted.route.request_kind, kinds, is_late)
+        now_s = self.get_time_s()
+        return make_place_call(self.catalog, admitted, excluded, build, now_s)
 
     async def try_acquire(
         self, admitted: AdmittedRequest, excluded: frozenset[str], build: str
     ) -> TargetRecord | None:
         """Return a target, and count the request there; None if none has capacity."""
-        key = (admitted.service, build)
+        key = self.make_queue_key(admitted, build)
         call = self.make_place_call(admitted, excluded, build)
         result = await self.placement_source.request_placement(call)
+        if call.allowed_regions != self.make_queue_key(admitted, build)[-1]:
+            # The configuration has changed meanwhile.
+            call = self.make_place_call(admitted, excluded, build)
         if result is None:
             self.retry_delays_s.pop(key, None)
             return self.choose_locally(admitted, call)
@@ -274,9 +258,12 @@
         if placement is None:
             self.retry_delays_s[key] = answer.wait_s
             return None
-        target = self.catalog.find_target(admitted.service, answer.target_id, build)
+        target = self.catalog.find_target(
+            admitted.service, answer.target_id, build, call.allowed_regions
+        )
         if target is None or not self.catalog.is_eligible(target, call):
             # This node has newer data on the target than the coordinator.
+            self.catalog.region_rules.record_declined(call, answer.target_id)
             self.placement_source.release(placement)
             return self.choose_locally(admitted, call)
         self.placements[id(admitted)] = placement
@@ -291,7 +278,9 @@
             return None
         targets = [
             target
-            for target in self.catalog.get_targets(admitted.service, call.build)
+            for target in self.catalog.get_targets(
+                admitted.service, call.build, call.allowed_regions
+            )
             if target.target_id not in call.excluded
             and self.catalog.is_eligible(target, call)
             and self.has_capacity(target, call)
--- a/src/laburnumpitch/relay/request_queue.py
+++ b/src/laburnumpitch/relay/request_queue.py
@@ -9,11 +9,13 @@
 from ..errors import InternalError, LaburnumpitchError
 from ..fleet.messages import TargetRecord
 from ..policy.queue_priority import QueuePriority, get_sort_key
+from ..policy.regions import AllowedRegions
 from .request import AdmittedRequest
 
-QueueKey = tuple[str, str]
-"""Service and build of a queue. Requests that need a certain build have queues of their
-own, as its targets may be full while others have capacity."""
+QueueKey = tuple[str, str, AllowedRegions]
+"""Service, build and allowed regions of a queue. Requests that need a certain build or
+region have queues of their own, as its targets may be full while others have capacity.
+"""
 
 
 @dataclass(eq=False)
@@ -26,11 +28,13 @@
     build: str
     """Build that the target must have; empty for any."""
     future: asyncio.Future[TargetRecord]
+    allowed_regions: AllowedRegions = None
+    """Where the request may be served."""
 
     @property
     def key(self) -> QueueKey:
         """The queue that the request waits in."""
-        return (self.admitted.service, self.build)
+        return (self.admitted.service, self.build, self.allowed_regions)
 
     def fail(self, error: Exception) -> None:
         """Fail the request, unless it is no longer waited for."""
@@ -44,7 +48,7 @@
 
 
 class RequestQueue:
-    """Queues by service and build, each ordered by priority.
+    """Queues by service, build and allowed regions, each ordered by priority.
 
     Args:
         get_time_s: Monotonic time.
--- a/src/laburnumpitch/relay/target_catalog.py
+++ b/src/laburnumpitch/relay/target_catalog.py
@@ -7,10 +7,13 @@
 from ..fleet.fleet_view import FleetView
 from ..fleet.messages import PlaceCall, TargetRecord
 from ..fleet.store_owner import REMOTE_TRANSFER_FACTOR
+from ..metrics import Metrics
 from ..policy.leaving_targets import DRAIN_S
+from ..policy.regions import AllowedRegions
 from ..policy.target_selection import PREFILL_TOKENS_PER_S, TargetCandidate
 from .configuration import EngineSpec, StoreSpec
 from .leaving_targets import LeavingTargets
+from .region_rules import RegionRules
 from .shedding_targets import SheddingTargets
 from .store_choice import find_store
 from .target_statistics import TargetStatistics, TargetStats
@@ -34,6 +37,7 @@
         outdated_weights_s: Time after a weight version is set in which requests may
             still begin on older weights, whether or not a newer one is set meanwhile.
         drain_s: Time for which a leaving target still serves.
+        region_rules: Finds where requests may be served; without regions by default.
     """
 
     def __init__(
@@ -43,6 +47,7 @@
         get_time_s: Callable[[], float],
         outdated_weights_s: float,
         drain_s: float = DRAIN_S,
+        region_rules: RegionRules | None = None,
     ) -> None:
         self.fleet_view = fleet_view
         self.statistics = statistics
@@ -50,6 +55,7 @@
         self.outdated_weights_s = outdated_weights_s
         self.leaving = LeavingTargets(get_time_s, drain_s)
         self.shedding = SheddingTargets(get_time_s)
+        self.region_rules = region_rules or RegionRules(fleet_view, {}, Metrics())
         self.by_service: dict[str, list[TargetRecord]] = {}
 
     def update(self) -> None:
@@ -65,7 +71,9 @@
         self.leaving.retain(records)
         self.shedding.drop_ended()
 
-    def get_targets(self, service: str, build: str = "") -> list[TargetRecord]:
+    def get_targets(
+        self, service: str, build: str = "", allowed_regions: AllowedRegions = None
+    ) -> list[TargetRecord]:
         """Return the targets of a service that may get new requests of this node.
 
         These are the ones that stay and do not ask this node for no requests. If all
@@ -74,21 +82,27 @@
         Args:
             service: The service.
             build: Build that the targets must have; empty for any.
+            allowed_regions: Regions that the targets may be in.
         """
-        return self.shedding.select_usable(self.get_staying_targets(service, build))
-
-    def has_only_shedding(self, service: str, build: str) -> bool:
-        """Whether all targets of a service ask this node for no requests."""
-        return bool(self.get_staying_targets(service, build)) and not self.get_targets(
-            service, build
+        return self.shedding.select_usable(
+            self.get_staying_targets(service, build, allowed_regions)
         )
 
+    def has_only_shedding(
+        self, service: str, build: str, allowed_regions: AllowedRegions
+    ) -> bool:
+        """Whether all allowed targets of a service ask this node for no requests."""
+        key = (service, build, allowed_regions)
+        return bool(self.get_staying_targets(*key)) and not self.get_targets(*key)
+
     def record_start(self, target: TargetRecord, tokens: int) -> None:
         """Count a request that is sent to a target."""
         self.shedding.record_start(target)
         self.statistics.record_start(target, tokens)
 
-    def get_staying_targets(self, service: str, build: str) -> list[TargetRecord]:
+    def get_staying_targets(
+        self, service: str, build: str, allowed_regions: AllowedRegions = None
+    ) -> list[TargetRecord]:
         """Return the targets of a service that are not leaving.
 
         If all of them said in answers that they are leaving, these are returned for a
@@ -97,23 +111,33 @@
         Args:
             service: The service.
             build: Build that the targets must have; empty for any.
+            allowed_regions: Regions that the targets may be in.
         """
         targets = self.by_service.get(service, [])
         if build:
             targets = [target for target in targets if target.build == build]
+        targets = self.region_rules.select_allowed(targets, allowed_regions)
         return self.leaving.select_usable(targets)
 
-    def list_avoided_ids(self, service: str, build: str) -> list[str]:
-        """Return the targets of a service that get no new requests of this node."""
-        usable_ids = {target.target_id for target in self.get_targets(service, build)}
+    def list_avoided_ids(
+        self, service: str, build: str, allowed_regions: AllowedRegions
+    ) -> list[str]:
+        """Return the allowed targets of a service that get no new requests here."""
+        usable = self.get_targets(service, build, allowed_regions)
+        usable_ids = {target.target_id for target in usable}
+        targets = self.by_service.get(service, [])
         return [
             target.target_id
-            for target in self.by_service.get(service, [])
+            for target in self.region_rules.select_allowed(targets, allowed_regions)
             if target.target_id not in usable_ids and build in ("", target.build)
         ]
 
     def has_other_target(
-        self, service: str, build: str, excluded: Container[str]
+        self,
+        service: str,
+        build: str,
+        excluded: Container[str],
+        allowed_regions: AllowedRegions,
     ) -> bool:
         """Whether a service has a target that is not excluded.
 
@@ -121,14 +145,19 @@
             service: The service.
             build: Build that the target must have; empty for any.
             excluded: Targets that are excluded.
+            allowed_regions: Regions that the target may be in.
         """
         return any(
             target.target_id not in excluded
-            for target in self.get_targets(service, build)
+            for target in self.get_targets(service, build, allowed_regions)
         )
 
     def find_target(
-        self, service: str, target_id: str, build: str = ""
+        self,
+        service: str,
+        target_id: str,
+        build: str = "",
+        allowed_regions: AllowedRegions = None,
     ) -> TargetRecord | None:
         """Return a target that may get new requests, or None if it may not.
 
@@ -136,8 +165,9 @@
             service: The target's service.
             target_id: The target.
             build: Build that the target must have; empty for any.
+            allowed_regions: Regions that the target may be in.
         """
-        for target in self.get_targets(service, build):
+        for target in self.get_targets(service, build, allowed_regions):
             if target.target_id == target_id:
                 return target
         return None
@@ -151,6 +181,8 @@
 
     def is_eligible(self, target: TargetRecord, call: PlaceCall) -> bool:
         """Whether a target can serve a request, regardless of its load."""
+        if not self.region_rules.allows(target.data_centre, call.allowed_regions):
+            return False
         stats = self.statistics.get(target.target_id)
         if stats.is_replaced or target.is_loading:
             # An engine rejects every request while it loads weights.
@@ -198,7 +230,8 @@
 
     def find_session_store(self, call: PlaceCall) -> StoreSpec | None:
         """Return the store of a request's session, or None if no node manages it."""
-        store = find_store(self.fleet_view.configuration, call.key)
+        configuration, rules = self.fleet_view.configuration, self.region_rules
+        store = find_store(configuration, call.key, rules, call.allowed_regions)
         if store is None or store.address not in self.fleet_view.assignments:
             return None
         return store
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -162,6 +162,8 @@
         self.version = 1
         self.build = "v1"
         """Version of its software."""
+        self.data_centre = "dc"
+        """Data centre that it announces."""
         self.keeps_id = False
         """Whether all its incarnations have one id."""
         self.announces = True
@@ -242,7 +244,7 @@
         body = {
             "service": self.service,
             "address": self.address,
-            "zone": "dc",
+            "zone": self.data_centre,
             "version": self.build,
             "slots": self.slots,
             "state": "draining" if self.is_draining else "ready",
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -127,6 +127,16 @@
         self.assertEqual("t", organisations["k2"].name)
         self.assertTrue(organisations["k3"].is_isolated)
 
+    def test_allowed_regions(self) -> None:
+        """They are read for routes and organisations; none, or no entry, allows all."""
+        for regions in ([], ["a", "b"]):
+            for part in ("routes", "tenants"):
+                body = make_changed([part, 0, "allowed_regions"], regions)
+                configuration = decode_configuration(body)
+                items = configuration.routes + configuration.organisations
+                restricted = [i.allowed_regions for i in items if i.allowed_regions]
+                self.assertEqual([tuple(regions)] if regions else [], restricted)
+
     def test_retryable(self) -> None:
         """A resumable stream is retryable, a non-idempotent request is not."""
         is_retryable_by_route = [
@@ -211,6 +221,10 @@
             "unknown_route_type",
             {"body": make_changed(["routes", 0, "route_type"], "x")},
         ),
+        (
+            "region_is_no_name",
+            {"body": make_changed(["tenants", 0, "allowed_regions"], [1])},
+        ),
         ("version_is_text", {"body": make_changed(["version"], "3")}),
         ("negative_version", {"body": make_changed(["version"], -1)}),
         ("version_of_64_bits", {"body": make_changed(["version"], 2**63)}),
--- a/tests/platform/test_settings_file.py
+++ b/tests/platform/test_settings_file.py
@@ -81,6 +81,28 @@
         self.assertEqual(("10.1.0.40",), settings.seed_hosts)
 
 
+class RegionTest(testtools.TestCase):
+    """Regions of the data centres, and of the node itself."""
+
+    scenarios = [
+        ("none", {"text": "", "expected": {}}),
+        ("table", {"text": 'zones = {z = "r"}', "expected": {"z": "r"}}),
+        ("own", {"text": 'region = "r"', "expected": {"z": "r"}}),
+        (
+            "both",
+            {
+                "text": 'region = "r"\nzones = {y = "s"}',
+                "expected": {"z": "r", "y": "s"},
+            },
+        ),
+    ]
+
+    def test_read(self) -> None:
+        """A node knows the regions of the table, and its own one without the table."""
+        settings = read_text(SOUND.replace('zone = "z"', f'zone = "z"\n{self.text}'))
+        self.assertEqual(self.expected, settings.regions_by_data_centre)
+
+
 class OddTest(testtools.TestCase):
     """Values that a node cannot use."""
 
@@ -100,6 +122,7 @@
             "lease_of_400_digits",
             make_changed("lease_ms = 3000", f"lease_ms = {10**400}"),
         ),
+        ("zones_without_a_region", make_changed('zone = "z"', 'zone = "z"\nzones = 1')),
         ("negative_losses", make_changed("machines = 1", "machines = -1")),
         ("listen_port_above_range", make_changed("10.1.0.40:8005", "10.1.0.40:99999")),
         ("listen_without_a_port", make_changed("10.1.0.40:8005", "10.1.0.40")),
--- a/tests/relay/test_coordinator.py
+++ b/tests/relay/test_coordinator.py
@@ -128,6 +128,20 @@
             for _ in range(3):
                 self.assertEqual("t1", self.request_placement(**changes).target_id)
 
+    def test_allowed_regions(self) -> None:
+        """Guards against placements outside the regions that a call allows."""
+        rules = self.coordinator.catalog.region_rules
+        rules.regions_by_data_centre = {"dc": "west", "east-1": "east"}
+        table = self.coordinator.catalog.fleet_view.targets
+        table.put(TargetRecord("t0", SERVICE, "a0", "east-1", 1, 2, SLOTS), 0.0)
+        self.coordinator.catalog.update()
+        for regions, allowed in ((("west",), {"t1"}), (("east",), {"t0"}), ((), {""})):
+            placed = {
+                self.request_placement(allowed_regions=regions).target_id
+                for _ in range(3)
+            }
+            self.assertEqual(allowed, placed)
+
     def test_backoff_is_shared(self) -> None:
         """A target in backoff at one node is avoided for all nodes for a while."""
         self.request_placement(suspects=["t0"], excluded=["t1"])
