--- a/src/laburnumpitch/relay/answer_deadlines.py
+++ b/src/laburnumpitch/relay/answer_deadlines.py
@@ -165,18 +165,19 @@
         if self.reserved is None:
             return None
         dispatcher, admitted = self.services.dispatcher, self.reserved.admitted
-        call = dispatcher.make_place_call(admitted, self.excluded, self.get_build())
-        target = dispatcher.catalog.find_target(
+        catalog = dispatcher.catalog
+        target = catalog.find_target(
             admitted.service,
             self.reserved.target.target_id,
             self.get_build(),
-            call.allowed_regions,
+            catalog.region_rules.get_allowed_regions(admitted),
         )
         if target is None or target.born_ms != self.reserved.target.born_ms:
             return None
         if self.services.statistics.is_possibly_unreachable(target):
             return None
-        return target if dispatcher.catalog.is_eligible(target, call) else None
+        call = dispatcher.make_place_call(admitted, self.excluded, self.get_build())
+        return target if catalog.is_eligible(target, call) else None
 
     def take_reserved(self) -> ReservedTarget | None:
         """Return the reserved target and leave it to the caller.
