Evacuation of a data centre: replicated state, leader, nodes and targets

Cause: an operator could not order that nothing is sent to the targets of a data centre. Change: a log command with a revision for each data centre, calls to the leader, the catalogue's selection, a check right before a request is written, refusals at once where all targets are evacuated, and the calls at the control address. Tests of each path to a target and of calls that are late, repeated or contrary.

--- a/src/laburnumpitch/errors.py
+++ b/src/laburnumpitch/errors.py
@@ -157,6 +157,12 @@
     status = 503
 
 
+class EvacuatedError(NoTargetError):
+    """Every target that may run the request is in an evacuated data centre."""
+
+    code = "evacuated"
+
+
 class NoLeaseError(LaburnumpitchError):
     """This node holds no control lease and accepts no new requests."""
 
@@ -235,6 +241,12 @@
     code = "target_refused"
 
 
+class TargetEvacuatedError(TargetError):
+    """A target's data centre was evacuated before the request was sent."""
+
+    code = "target_evacuated"
+
+
 class StreamBrokenError(TargetError):
     """A stream broke after its start and could not be resumed."""
 
@@ -276,6 +288,14 @@
     code = "log_corrupt"
 
 
+class ChangeDelayedError(LaburnumpitchError):
+    """A change cannot be acknowledged yet; the same call may succeed later."""
+
+    code = "change_delayed"
+    status = 503
+    run = UNKNOWN
+
+
 class VersionConflictError(LaburnumpitchError):
     """A section changed since the operator read it; the detail has the current text."""
 
--- a/src/laburnumpitch/fleet/fleet_publisher.py
+++ b/src/laburnumpitch/fleet/fleet_publisher.py
@@ -342,6 +342,8 @@
             suspect_requests=self.quarantine.list_suspect_requests(),
             leader_host=self.replica.get_leader_name(),
             builds=dict(state.builds) if self.may_record_builds() else None,
+            evacuated=list(state.evacuated),
+            evacuation_revisions=dict(state.evacuation_revisions),
         )
         if facts != self.facts:
             self.facts = facts
--- a/src/laburnumpitch/fleet/fleet_state.py
+++ b/src/laburnumpitch/fleet/fleet_state.py
@@ -1,4 +1,4 @@
-"""The fleet's replicated state: configuration, weight versions and builds."""
+"""The fleet's replicated state: configuration, weights, builds and evacuations."""
 
 from __future__ import annotations
 
@@ -8,6 +8,8 @@
 import msgspec
 
 from ..policy.context_sharing import ContextSharing
+from ..policy.evacuation import Evacuations
+from .evacuation_messages import StoreEvacuation
 from .messages import StoreBuilds, StoreConfiguration, StoreWeights
 
 
@@ -27,6 +29,15 @@
     builds: dict[str, dict[str, bool]] = field(default_factory=dict)
     """Builds of each service that may have begun a stream, or may soon; and whether
     streams may begin on them."""
+    evacuated: list[str] = field(default_factory=list)
+    """Evacuated data centres, sorted."""
+    evacuation_revisions: dict[str, int] = field(default_factory=dict)
+    """Number of changes of each data centre's evacuation."""
+
+    @property
+    def evacuations(self) -> Evacuations:
+        """The evacuations as the policy needs them."""
+        return Evacuations(frozenset(self.evacuated), self.evacuation_revisions)
 
 
 class FleetState:
@@ -54,6 +65,8 @@
             return self.on_store_weights(command)
         if isinstance(command, StoreBuilds):
             return self.on_store_builds(command)
+        if isinstance(command, StoreEvacuation):
+            return self.on_store_evacuation(command)
         raise TypeError(f"unknown command {type(command).__name__}")
 
     def on_store_configuration(self, command: StoreConfiguration) -> int:
@@ -97,3 +110,20 @@
         else:
             builds.pop(command.service, None)
         return len(command.builds)
+
+    def on_store_evacuation(self, command: StoreEvacuation) -> int:
+        """Change a data centre's evacuation unless a newer change was made.
+
+        Returns:
+            The revision if the state is as ordered now; 0 if a newer change ordered the
+            contrary.
+        """
+        state, name = self.state, command.data_centre
+        evacuations = state.evacuations.apply(
+            name, command.is_evacuated, command.base_revision
+        )
+        state.evacuated = sorted(evacuations.evacuated)
+        state.evacuation_revisions = dict(evacuations.revisions)
+        if not evacuations.is_as_ordered(name, command.is_evacuated):
+            return 0
+        return evacuations.get_revision(name)
--- a/src/laburnumpitch/fleet/fleet_view.py
+++ b/src/laburnumpitch/fleet/fleet_view.py
@@ -85,6 +85,10 @@
         self.builds: dict[str, dict[str, bool]] | None = None
         """Committed builds by service, and whether streams may begin on them; None if
         the leader does not record them."""
+        self.evacuated: frozenset[str] = frozenset()
+        """Data centres whose targets get no requests."""
+        self.evacuation_revisions: dict[str, int] = {}
+        """Number of changes of each data centre's evacuation."""
         self.members: list[Member] = []
         """Members of the replicated log."""
         self.facts: FleetFacts | None = None
@@ -251,6 +255,8 @@
         self.suspect_pieces = frozenset(facts.suspect_pieces)
         self.assignments = facts.keepers
         self.builds = facts.builds
+        self.evacuated = frozenset(facts.evacuated)
+        self.evacuation_revisions = facts.evacuation_revisions
         self.members = facts.members
         self.hosts = facts.hosts
         self.node_count = max(1, len(facts.hosts))
--- a/src/laburnumpitch/fleet/messages.py
+++ b/src/laburnumpitch/fleet/messages.py
@@ -21,6 +21,8 @@
     has_disk: bool
     knows_builds: bool = False
     """Whether its software can apply `StoreBuilds`; older software cannot."""
+    knows_evacuations: bool = False
+    """Whether its software can apply `StoreEvacuation`; older software cannot."""
 
 
 class JoinCore(Message):
@@ -136,6 +138,10 @@
     from a leader whose software does not record builds."""
     weight_ages: dict[str, dict[int, float]] = field(default_factory=dict)
     """Seconds since each weight version was set, by model, when the facts were sent."""
+    evacuated: list[str] = field(default_factory=list)
+    """Evacuated data centres, sorted."""
+    evacuation_revisions: dict[str, int] = field(default_factory=dict)
+    """Number of changes of each data centre's evacuation."""
 
 
 class FleetSnapshot(Message):
--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -15,6 +15,7 @@
 from .errors import SettingsError
 from .fleet.bootstrap import ClusterBootstrap
 from .fleet.build_registry import BuildRegistry
+from .fleet.evacuation_service import EvacuationService
 from .fleet.fleet_view import FleetView
 from .fleet.founding import ClusterFounding
 from .fleet.founding_messages import AcceptFounding, PrepareFounding
@@ -85,6 +86,7 @@
             settings.data_centre,
             bool(settings.data_folder),
             knows_builds=True,
+            knows_evacuations=True,
         )
         self.zmq_context = zmq.asyncio.Context()
         self.rpc_pool = RpcPool(self.zmq_context)
@@ -128,6 +130,11 @@
             settings.control_address,
             decode_configuration,
         )
+        self.evacuation_service = EvacuationService(
+            self.leader_service.require_leader_state,
+            self.list_data_centres,
+            lambda: self.fleet_view.configuration is not None,
+        )
         self.relay = FleetRelay(
             settings,
             self.fleet_view,
@@ -172,6 +179,15 @@
         store_names = [store.address for store in stores]
         return store_names + [make_assignment_key(s) for s in self.list_services()]
 
+    def list_data_centres(self) -> set[str]:
+        """Return the data centres of the settings, the stores and known targets."""
+        names = {*self.settings.regions_by_data_centre, self.settings.data_centre}
+        names.update(r.data_centre for r in self.fleet_view.targets.get_records())
+        configuration = self.fleet_view.configuration
+        if configuration is not None:
+            names.update(s.store.data_centre for s in configuration.stores)
+        return names
+
     def list_resumable_services(self) -> list[str]:
         """Return the services whose streams may go on at another target."""
         configuration = self.fleet_view.configuration
@@ -226,6 +242,7 @@
         self.founding.start()
         self.relay.register(self.rpc_server)
         self.leader_service.register(self.rpc_server)
+        self.evacuation_service.register(self.rpc_server)
         await self.rpc_server.start()
         if self.replica_manager is not None:
             self.snapshot_file = SnapshotFile(
--- a/src/laburnumpitch/fleet_relay.py
+++ b/src/laburnumpitch/fleet_relay.py
@@ -25,6 +25,7 @@
 from .relay.context_planner import ContextPlanner
 from .relay.coordinator import Coordinator
 from .relay.dispatcher import Dispatcher
+from .relay.evacuation_watch import EvacuationWatch
 from .relay.incarnation_check import IncarnationCheck
 from .relay.placement_client import PlacementClient
 from .relay.relay_api import RelayApi
@@ -78,6 +79,7 @@
         self.dispatcher = Dispatcher(
             catalog, self.placement_client, get_time_s, random_source
         )
+        EvacuationWatch(fleet_view, metrics)
         retry_limiter = RetryLimiter(
             settings.retry_ratio,
             settings.retry_slack,
--- a/src/laburnumpitch/metrics.py
+++ b/src/laburnumpitch/metrics.py
@@ -54,6 +54,8 @@
     ),
     Metric("stream.unknown", "counter", "streams", "Of these, of unknown origin."),
     Metric("place.unanswered", "counter", "calls", "Unanswered calls of coordinators."),
+    Metric("evacuation.active", "gauge", "data centres", "Evacuated data centres."),
+    Metric("evacuation.refused", "counter", "requests", "Refused as evacuated."),
     Metric("task.failed", "counter", "errors", "Unexpected errors of tasks."),
     Metric("quarantine.fingerprints", "gauge", "fingerprints", "Quarantined requests."),
 )
--- a/src/laburnumpitch/platform/control_api.py
+++ b/src/laburnumpitch/platform/control_api.py
@@ -19,6 +19,7 @@
 from ..logging import get_logger
 from ..transport.http_server import HttpRequest, Responder
 from .announcements import check_target_id, decode_announcement
+from .evacuation_calls import EVACUATIONS_PATH, EvacuationCalls
 from .wire_values import BoundedText, Count, is_too_deep
 
 INSTANCES_PATH = "/-/instances/"
@@ -58,6 +59,7 @@
 
     def __init__(self, leader_client: LeaderClient) -> None:
         self.leader_client = leader_client
+        self.evacuation_calls = EvacuationCalls(leader_client)
         self.log = get_logger()
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
@@ -91,6 +93,8 @@
         call = (request.method, request.path)
         if request.path.startswith(INSTANCES_PATH):
             return await self.handle_target_call(request)
+        if request.path.startswith(EVACUATIONS_PATH):
+            return await self.evacuation_calls.handle(request)
         if call == ("PUT", CONFIGURATION_PATH):
             await self.leader_client.call(
                 PutConfiguration(request.body), WRITE_TIMEOUT_S
--- a/src/laburnumpitch/platform/settings_file.py
+++ b/src/laburnumpitch/platform/settings_file.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import tomllib
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Annotated
 
@@ -71,6 +72,7 @@
     seeds: list[str] = []
     is_bootstrap: bool = False
     data_dir: str = ""
+    zones: dict[str, str] = {}
     heartbeat_ms: Annotated[float, msgspec.Meta(ge=1.0, le=MAX_DURATION_MS)] = 1200
     bounds: WireBounds = msgspec.field(default_factory=WireBounds)
     fault_tolerance: WireFaultTolerance = msgspec.field(
@@ -117,6 +119,8 @@
     """Time after which a VM that has started replaces a lost one."""
     drain_s: float = DRAIN_S
     """Time for which a target that is leaving still serves."""
+    regions_by_data_centre: Mapping[str, str] = field(default_factory=dict)
+    """Region of each data centre."""
 
 
 def get_host(address: str) -> str:
@@ -186,4 +190,5 @@
         tolerated_losses=wire.fault_tolerance.machines,
         catch_up_s=float(bounds.catch_up_s),
         drain_s=bounds.drain_ms / MS_PER_S,
+        regions_by_data_centre=wire.zones,
     )
--- a/src/laburnumpitch/relay/dispatcher.py
+++ b/src/laburnumpitch/relay/dispatcher.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from .._tasks import TASK_FAILURES
-from ..errors import NoTargetError, OverloadedError
+from ..errors import OverloadedError
 from ..fleet.load_totals import NO_LOAD
 from ..fleet.messages import FleetLoad, PlaceAnswer, PlaceCall, TargetRecord
 from ..policy.backlog_bound import get_max_backlog_s
@@ -97,6 +97,7 @@
     def on_fleet_change(self) -> None:
         """Update the targets and wake the queues."""
         self.catalog.update()
+        self.queue.refuse(self.catalog.find_refusal)
         self.wake_queues()
 
     def count_queued(self) -> int:
@@ -123,7 +124,7 @@
             OverloadedError: If no target had capacity in time.
         """
         if not self.catalog.has_other_target(admitted.service, build, excluded):
-            raise NoTargetError(f"{admitted.service} has no target")
+            raise self.catalog.make_refusal(admitted.service, build, excluded)
         if not self.has_queue_ahead(admitted, build):
             target = await self.try_acquire(admitted, excluded, build)
             if target is not None:
@@ -202,9 +203,10 @@
 
         Later requests do not overtake it, or large prompts would never be dispatched.
         """
-        if self.catalog.has_only_shedding(*queued.key):
+        refusal = self.catalog.find_refusal(*queued.key, queued.excluded)
+        if refusal is not None:
             self.queue.discard(queued)
-            queued.fail(NoTargetError(f"targets of {queued.key[0]} want no requests"))
+            queued.fail(refusal)
             return
         wakeup = self.wakeup
         target = await self.try_acquire(queued.admitted, queued.excluded, queued.build)
--- a/src/laburnumpitch/relay/relay_api.py
+++ b/src/laburnumpitch/relay/relay_api.py
@@ -7,6 +7,7 @@
 
 from ..errors import (
     DrainingError,
+    EvacuatedError,
     InternalError,
     LaburnumpitchError,
     NoLeaseError,
@@ -160,6 +161,9 @@
         if isinstance(error, DrainingError):
             return 0.0
         is_ready = isinstance(error, (NoTargetError, OverloadedError))
+        if isinstance(error, EvacuatedError):
+            # Targets return at an operator's order, not when one of them is free.
+            is_ready = False
         bounds = READY_RETRY_AFTER_S if is_ready else UNREADY_RETRY_AFTER_S
         retry_after_s = self.random.uniform(*bounds)
         if run is None:
@@ -193,6 +197,8 @@
         services = self.services
         has_run = run is not None and run.may_have_run
         services.metrics.count("request.failed" if has_run else "request.refused")
+        if isinstance(error, EvacuatedError):
+            services.metrics.count("evacuation.refused")
         services.log.info(
             "request_failed" if has_run else "request_refused",
             request=request_id,
--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -7,6 +7,7 @@
     NoTargetError,
     OverloadedError,
     TargetError,
+    TargetEvacuatedError,
     TargetRefusedError,
 )
 from ..fleet.messages import TargetRecord
@@ -119,6 +120,9 @@
             try:
                 await self.send(target)
                 return
+            except TargetEvacuatedError:
+                # Nothing was sent; another target is chosen.
+                continue
             except TargetRefusedError as error:
                 self.handle_rejection(target, error)
             except TargetError as error:
--- a/src/laburnumpitch/relay/request_queue.py
+++ b/src/laburnumpitch/relay/request_queue.py
@@ -69,6 +69,21 @@
         if queued in self.requests:
             self.requests.remove(queued)
 
+    def refuse(
+        self, find_refusal: Callable[[str, str, frozenset[str]], Exception | None]
+    ) -> None:
+        """Fail the requests that no target will run, in every queue.
+
+        Args:
+            find_refusal: Returns the error of a service, build and excluded targets;
+                None if some target may run the request.
+        """
+        for queued in list(self.requests):
+            refusal = find_refusal(*queued.key, queued.excluded)
+            if refusal is not None:
+                self.discard(queued)
+                queued.fail(refusal)
+
     def find_first(self, key: QueueKey) -> QueuedRequest | None:
         """Return the request of a queue that comes first, or None."""
         now_s = self.get_time_s()
--- a/src/laburnumpitch/relay/target_catalog.py
+++ b/src/laburnumpitch/relay/target_catalog.py
@@ -4,9 +4,11 @@
 
 from collections.abc import Callable, Container
 
+from ..errors import EvacuatedError, NoTargetError, TargetEvacuatedError
 from ..fleet.fleet_view import FleetView
 from ..fleet.messages import PlaceCall, TargetRecord
 from ..fleet.store_owner import REMOTE_TRANSFER_FACTOR
+from ..policy.evacuation import find_usable
 from ..policy.leaving_targets import DRAIN_S
 from ..policy.target_selection import PREFILL_TOKENS_PER_S, TargetCandidate
 from .configuration import EngineSpec, StoreSpec
@@ -89,7 +91,7 @@
         self.statistics.record_start(target, tokens)
 
     def get_staying_targets(self, service: str, build: str) -> list[TargetRecord]:
-        """Return the targets of a service that are not leaving.
+        """Return the targets of a service that are neither leaving nor evacuated.
 
         If all of them said in answers that they are leaving, these are returned for a
         limited time.
@@ -101,7 +103,52 @@
         targets = self.by_service.get(service, [])
         if build:
             targets = [target for target in targets if target.build == build]
-        return self.leaving.select_usable(targets)
+        return self.leaving.select_usable(self.select_in_service(targets))
+
+    def select_in_service(self, targets: list[TargetRecord]) -> list[TargetRecord]:
+        """Return the targets whose data centres are not evacuated."""
+        evacuated = self.fleet_view.evacuated
+        if not evacuated:
+            return targets
+        data_centres = [target.data_centre for target in targets]
+        return [targets[index] for index in find_usable(data_centres, evacuated)]
+
+    def check_in_service(self, target: TargetRecord) -> None:
+        """Check, right before a request is sent, that a target is not evacuated.
+
+        Raises:
+            TargetEvacuatedError: If it is.
+        """
+        if not self.select_in_service([target]):
+            raise TargetEvacuatedError(f"{target.data_centre} is evacuated", sent=False)
+
+    def make_refusal(
+        self, service: str, build: str, excluded: Container[str]
+    ) -> NoTargetError:
+        """Return the error of a request for which a service has no target left."""
+        left = [
+            target
+            for target in self.by_service.get(service, [])
+            if target.target_id not in excluded and build in ("", target.build)
+        ]
+        if left and not self.select_in_service(left):
+            return EvacuatedError(f"all targets of {service} are evacuated")
+        return NoTargetError(f"{service} has no target")
+
+    def find_refusal(
+        self, service: str, build: str, excluded: Container[str]
+    ) -> NoTargetError | None:
+        """Return the error of a queued request that no target will run, or None.
+
+        All targets that may run it are evacuated, or all targets of the service ask
+        this node for no requests.
+        """
+        refusal = self.make_refusal(service, build, excluded)
+        if isinstance(refusal, EvacuatedError):
+            return refusal
+        if self.has_only_shedding(service, build):
+            return NoTargetError(f"targets of {service} want no requests")
+        return None
 
     def list_avoided_ids(self, service: str, build: str) -> list[str]:
         """Return the targets of a service that get no new requests of this node."""
--- a/src/laburnumpitch/relay/target_sender.py
+++ b/src/laburnumpitch/relay/target_sender.py
@@ -74,9 +74,15 @@
         elif is_retry_allowed:
             max_idle_s = MAX_IDLE_RETRYABLE_S
         path = f"{request.path}?{request.query}" if request.query else request.path
-        before_write = None
-        if is_bound and services.dispatcher.catalog.get_engine_spec(target.service):
-            before_write = await services.incarnation_check.confirm(target)
+        catalog = services.dispatcher.catalog
+        checks = [lambda: catalog.check_in_service(target)]
+        if is_bound and catalog.get_engine_spec(target.service):
+            checks.append(await services.incarnation_check.confirm(target))
+
+        def check_before_write() -> None:
+            for check in checks:
+                check()
+
         return await services.clients.get(target.address).request(
             request.method,
             path,
@@ -89,7 +95,7 @@
                 MAX_STREAM_BYTES if route.kind == STREAMING else MAX_ANSWER_BYTES
             ),
             max_idle_s=max_idle_s,
-            before_write=before_write,
+            before_write=check_before_write,
             connect_timeout_s=PROBE_TIMEOUT_S if is_probe else CONNECT_TIMEOUT_S,
             host=request.get_header("host"),
             extend_deadline=deadlines.extend,
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -83,6 +83,7 @@
     """When a node acknowledged that the target is draining; infinite before that."""
     build: str = ""
     """Version of the target's software."""
+    data_centre: str = ""
 
 
 @dataclass(frozen=True)
@@ -103,6 +104,7 @@
     build: str
     started_s: float
     ended_s: float = float("inf")
+    data_centre: str = ""
 
 
 @dataclass
@@ -148,6 +150,7 @@
         self.random = random.Random(seed)
         self.address = ""
         """Address that it announces, of the proxy in front of it."""
+        self.data_centre = "dc"
         self.slots = 16
         self.is_full = False
         """Whether it refuses all requests as if it were full, at any load."""
@@ -193,7 +196,12 @@
         await self.server.start()
         self.port = self.server.port
         self.is_running = True
-        self.serving_period = ServingPeriod(self.service, self.build, time.monotonic())
+        self.serving_period = ServingPeriod(
+            self.service,
+            self.build,
+            time.monotonic(),
+            data_centre=self.data_centre,
+        )
         self.journal.serving_periods.append(self.serving_period)
         self.spawn(self.run_heartbeats())
 
@@ -242,7 +250,7 @@
         body = {
             "service": self.service,
             "address": self.address,
-            "zone": "dc",
+            "zone": self.data_centre,
             "version": self.build,
             "slots": self.slots,
             "state": "draining" if self.is_draining else "ready",
@@ -336,6 +344,7 @@
             self.version if self.has_weights else 0,
             self.drain_acknowledged_s,
             self.build,
+            self.data_centre,
         )
         self.journal.arrivals.append(arrival)
 
--- /dev/null
+++ b/tests/fleet/test_evacuation.py
@@ -0,0 +1,204 @@
+"""Orders to evacuate a data centre, at nodes that fail or are late."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+import testscenarios
+
+from laburnumpitch.fleet.evacuation_messages import PutEvacuation
+from laburnumpitch.fleet.messages import FleetFacts
+from laburnumpitch.platform.evacuation_calls import EVACUATIONS_PATH, PROPOSAL_WINDOW_S
+
+from .fleet_case import (
+    POLL_INTERVAL_S,
+    Fleet,
+    FleetCase,
+    make_configuration,
+    wait_until,
+)
+
+PATH = EVACUATIONS_PATH + "dc"
+ORDER, WITHDRAW = "POST", "DELETE"
+
+
+async def send(fleet: Fleet, host: str, method: str, path: str = PATH) -> int:
+    """Send a call, and again until it is not refused for the moment."""
+    while (status := (await fleet.call(host, method, path))[0]) == 503:
+        await asyncio.sleep(POLL_INTERVAL_S)
+    return status
+
+
+def list_evacuated(fleet: Fleet) -> list[list[str]]:
+    """Return the evacuated data centres that each node knows."""
+    return [sorted(node.fleet_view.evacuated) for node in fleet.nodes.values()]
+
+
+class EvacuationCase(FleetCase):
+    """Base of tests with a configured fleet of three nodes with a disk and one without."""
+
+    def run_configured(self, scenario) -> None:
+        """Start a fleet, put a configuration in force and run a scenario."""
+
+        async def run(fleet: Fleet) -> None:
+            await fleet.start()
+            await fleet.put_configuration(fleet.hosts[0], make_configuration(1))
+            await wait_until(lambda: fleet.list_versions() == {1})
+            await scenario(fleet)
+
+        self.run_fleet(4, 3, run)
+
+
+class CallTest(EvacuationCase):
+    """Calls of an operator, each to another node."""
+
+    def test_answers(self) -> None:
+        """Each is answered as often as it is sent, and in force on every node by then."""
+
+        async def scenario(fleet: Fleet) -> None:
+            for number, (method, name, status, evacuated) in enumerate(
+                [
+                    (WITHDRAW, "dc", 200, []),
+                    (ORDER, "dc", 200, ["dc"]),
+                    (ORDER, "dc", 200, ["dc"]),
+                    (WITHDRAW, "dc", 200, []),
+                    (WITHDRAW, "unknown", 200, []),
+                    (ORDER, "d%63", 200, ["dc"]),
+                    (ORDER, "misspelt", 404, ["dc"]),
+                    (ORDER, "", 400, ["dc"]),
+                    (ORDER, "a" * 254, 400, ["dc"]),
+                    (ORDER, "a%00", 400, ["dc"]),
+                    (ORDER, "%ff", 400, ["dc"]),
+                    ("GET", "dc", 400, ["dc"]),
+                ]
+            ):
+                host = fleet.hosts[number % len(fleet.hosts)]
+                answer = await send(fleet, host, method, EVACUATIONS_PATH + name)
+                self.assertEqual(status, answer, name)
+                self.assertEqual([evacuated] * 4, list_evacuated(fleet), name)
+
+        self.run_configured(scenario)
+
+    def test_before_the_first_configuration(self) -> None:
+        """An order is accepted, of a data centre that only stores may have, and kept."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await fleet.start()
+            path = EVACUATIONS_PATH + "stores"
+            self.assertEqual(200, await send(fleet, fleet.hosts[0], ORDER, path))
+            await fleet.put_configuration(fleet.hosts[0], make_configuration(1))
+            await wait_until(lambda: fleet.list_versions() == {1})
+            self.assertEqual([["stores"]] * 3, list_evacuated(fleet))
+
+        self.run_fleet(3, 3, scenario)
+
+    def test_two_operators(self) -> None:
+        """Contrary calls at once are all acknowledged, and all nodes agree."""
+
+        async def scenario(fleet: Fleet) -> None:
+            statuses = await asyncio.gather(
+                *(
+                    send(fleet, host, method)
+                    for method in (ORDER, WITHDRAW)
+                    for host in fleet.hosts
+                )
+            )
+            self.assertEqual({200}, set(statuses))
+            await wait_until(lambda: len(set(map(str, list_evacuated(fleet)))) == 1)
+
+        self.run_configured(scenario)
+
+    def test_older_software(self) -> None:
+        """Nothing is proposed while a node that may vote cannot apply it."""
+
+        async def scenario(fleet: Fleet) -> None:
+            node = fleet.nodes[fleet.hosts[0]]
+            subscribers = fleet.get_leader().replica_manager.publisher.subscriptions
+            view = node.fleet_view
+            view.node = msgspec.structs.replace(view.node, knows_evacuations=False)
+            await wait_until(
+                lambda: not subscribers.by_host[
+                    node.settings.host
+                ].node.knows_evacuations
+            )
+            self.assertEqual(503, (await fleet.call(fleet.hosts[1], ORDER, PATH))[0])
+            self.assertEqual([[]] * 4, list_evacuated(fleet))
+            view.node = node.node_record
+            self.assertEqual(200, await send(fleet, fleet.hosts[1], ORDER))
+
+        self.run_configured(scenario)
+
+
+class FailureTest(EvacuationCase):
+    """Nodes end right after an acknowledgement."""
+
+    scenarios = testscenarios.multiply_scenarios(
+        [("order", {"withdraws": False}), ("withdrawal", {"withdraws": True})],
+        [("leader", {"kind": "leader"}), ("all", {"kind": "all"})]
+        + [("wiped", {"kind": "wiped"})],
+    )
+
+    def test_still_in_force(self) -> None:
+        """The change is in force on every node, and is not undone."""
+
+        async def scenario(fleet: Fleet) -> None:
+            self.assertEqual(200, await send(fleet, fleet.hosts[3], ORDER))
+            if self.withdraws:
+                self.assertEqual(200, await send(fleet, fleet.hosts[3], WITHDRAW))
+            leader = fleet.get_leader().settings.host
+            await fleet.stop(*([leader] if self.kind == "leader" else fleet.hosts))
+            if self.kind == "wiped":
+                fleet.wipe(leader)
+            missing = [host for host in fleet.hosts if host not in fleet.nodes]
+            await fleet.start(*missing)
+            expected = [] if self.withdraws else ["dc"]
+            views = [node.fleet_view for node in fleet.nodes.values()]
+            await wait_until(lambda: all(v.has_leader_contact for v in views))
+            self.assertEqual([expected] * 4, list_evacuated(fleet))
+
+        self.run_configured(scenario)
+
+
+class DelayedCallTest(EvacuationCase):
+    """A node that read the revision passes the order on after a newer change."""
+
+    scenarios = [("late", {"is_late": True}), ("at_once", {"is_late": False})]
+
+    def test_newer_change_stays(self) -> None:
+        """It starts again while its operator waits for less than a second."""
+
+        async def scenario(fleet: Fleet) -> None:
+            calls = fleet.nodes[fleet.hosts[3]].control_server.handler.__self__
+            client = calls.evacuation_calls.leader_client
+            call, release, bases = client.call, asyncio.Event(), []
+
+            async def hold_call(request, *args):
+                if isinstance(request, PutEvacuation):
+                    bases.append(request.base_revision)
+                    await release.wait()
+                return await call(request, *args)
+
+            client.call = hold_call
+            late = asyncio.create_task(fleet.call(fleet.hosts[3], ORDER, PATH))
+            await wait_until(lambda: bases)
+            self.assertEqual(200, await send(fleet, fleet.hosts[0], WITHDRAW))
+            if self.is_late:
+                await asyncio.sleep(PROPOSAL_WINDOW_S)
+            release.set()
+            status, _ = await late
+            self.assertEqual(503 if self.is_late else 200, status)
+            self.assertEqual([0] if self.is_late else [0, 1], bases)
+            expected = [] if self.is_late else ["dc"]
+            self.assertEqual([expected] * 4, list_evacuated(fleet))
+
+        self.run_configured(scenario)
+
+
+class OlderLeaderTest(EvacuationCase):
+    """A leader whose software knows no evacuations publishes the facts."""
+
+    def test_defaults(self) -> None:
+        """Facts without the fields can be read, and evacuate nothing."""
+        facts = FleetFacts({}, [], [], [], {})
+        self.assertEqual(([], {}), (facts.evacuated, facts.evacuation_revisions))
--- a/tests/fleet/test_fleet_publisher.py
+++ b/tests/fleet/test_fleet_publisher.py
@@ -38,6 +38,8 @@
         context_epoch=0,
         weights={},
         builds={},
+        evacuated=[],
+        evacuation_revisions={},
     )
     replica = SimpleNamespace(
         require_leader=lambda: None,
--- a/tests/relay/relay_case.py
+++ b/tests/relay/relay_case.py
@@ -295,6 +295,7 @@
             node_count=1,
             sequence=1,
             other_loads={},
+            evacuated=frozenset(),
             assignments={},
             on_change=[],
             node=node,
--- a/tests/relay/test_coordinator.py
+++ b/tests/relay/test_coordinator.py
@@ -79,6 +79,7 @@
         node=NodeRecord(HOST, "n1", "", "", "dc", True),
         term=1,
         builds={},
+        evacuated=frozenset(),
         on_change=[],
     )
 
