--- a/harness/soak/__main__.py
+++ b/harness/soak/__main__.py
@@ -24,6 +24,7 @@
 from .node_outages import NodeOutages
 from .operator import (
     ENGINE_SERVICE,
+    EVACUATED_DATA_CENTRE,
     ISOLATED_ORGANISATIONS,
     PLAIN_SERVICES,
     SoakOperator,
@@ -105,7 +106,7 @@
         ENGINE_SERVICE: ENGINE_TARGET_COUNT + SPARE_COUNT,
         **dict.fromkeys(PLAIN_SERVICES, PLAIN_TARGET_COUNT),
     }
-    return [
+    targets = [
         PlatformTarget(
             f"{service}-{number}",
             service,
@@ -118,6 +119,10 @@
         for service, count in counts.items()
         for number in range(count)
     ]
+    for target in targets:
+        if int(target.name.rpartition("-")[2]) % 2:
+            target.data_centre = EVACUATED_DATA_CENTRE
+    return targets
 
 
 async def run_phases(
@@ -139,11 +144,13 @@
     fault_task = asyncio.create_task(
         injector.run(options.fault_interval_s, unplanned_s)
     )
+    evacuation_task = asyncio.create_task(operator.run_evacuations(seconds))
     outage_task = asyncio.create_task(NodeOutages(injector).run(unplanned_s))
     await asyncio.sleep(seconds)
     fault_task.cancel()
     await outage_task
     await injector.finish()
+    await evacuation_task
     recovery_deadline_s = time.monotonic() + RECOVERY_S
     await asyncio.sleep(RECOVERY_S + FAULT_FREE_S)
     for load_task in load_tasks:
@@ -180,6 +187,7 @@
         f"requests={len(records)} served={served} refused={refused} "
         f"runs={sum(a.has_run for a in history.journal.arrivals)} "
         f"changes={len(history.operator.configuration_changes)} "
+        f"evacuations={len(history.operator.evacuation_changes)} "
         f"weights={len(history.operator.weight_version_changes)} "
         f"builds={injector.releases.newest} outages={injector.outages} "
         f"take_ups={len(take_ups)} went_on={sum(r.goes_on for r in take_ups)} "
--- a/harness/soak/checks.py
+++ b/harness/soak/checks.py
@@ -9,6 +9,7 @@
 
 from ..history import Verdict
 from .clients import STREAMING_ROUTES
+from .evacuation_checks import check_evacuations
 from .operator import (
     PLAIN_SERVICES,
     VERSIONED_ROUTE_LIFETIME,
@@ -61,6 +62,7 @@
         check_organisations(history, runs),
         check_context_isolation(history.journal),
         check_draining(history),
+        check_evacuations(history),
         check_configuration(history, runs),
         check_reads(history.operator),
         check_holders(history.journal),
--- a/harness/soak/operator.py
+++ b/harness/soak/operator.py
@@ -34,6 +34,15 @@
 IDLE_TIMEOUTS_MS = (6000, 400, 1500)
 """Time after which a client's idle connection is closed, by configuration version."""
 
+EVACUATED_DATA_CENTRE = "dc-b"
+"""Data centre that is evacuated and has every second target."""
+
+MAX_SERVICE_S = 3.0
+"""Longest time between two evacuations, and of a short one."""
+
+MAX_EVACUATION_S = 15.0
+"""Longest time of a long evacuation."""
+
 MODEL = "m"
 PLAIN_SERVICES = ("shop-a", "shop-b")
 ENGINE_SERVICE = "models"
@@ -71,6 +80,19 @@
     acknowledged_s: float = float("inf")
 
 
+@dataclass
+class EvacuationChange:
+    """An evacuation that was ordered, and its withdrawal."""
+
+    data_centre: str
+    sent_s: float
+    acknowledged_s: float = float("inf")
+    withdrawn_s: float = float("inf")
+    """When its withdrawal was sent."""
+    ended_s: float = float("inf")
+    """When its withdrawal was acknowledged."""
+
+
 def get_versioned_path(version: int) -> str:
     """Return the path of the route that a configuration version adds."""
     return f"/step-{version}/"
@@ -153,6 +175,7 @@
     random: Random
     configuration_changes: list[ConfigurationChange] = field(default_factory=list)
     weight_version_changes: list[WeightVersionChange] = field(default_factory=list)
+    evacuation_changes: list[EvacuationChange] = field(default_factory=list)
     stale_reads: list[str] = field(default_factory=list)
     reads: int = 0
     accepted_invalid: list[str] = field(default_factory=list)
@@ -177,7 +200,9 @@
         finally:
             client.close()
 
-    async def send_until_acknowledged(self, method: str, path: str, body: dict) -> None:
+    async def send_until_acknowledged(
+        self, method: str, path: str, body: dict | None = None
+    ) -> None:
         """Send a change to random nodes until one acknowledges it."""
         while True:
             answer = await self.call(
@@ -207,6 +232,30 @@
         await self.send_until_acknowledged("POST", "/-/version-put", body)
         weight_version_change.acknowledged_s = time.monotonic()
 
+    async def run_evacuations(self, duration_s: float) -> None:
+        """Evacuate a data centre again and again; it is in service at the end."""
+        end_s = time.monotonic() + duration_s
+        while time.monotonic() < end_s:
+            await asyncio.sleep(self.random.uniform(0.2, 1.0) * MAX_SERVICE_S)
+            change = EvacuationChange(EVACUATED_DATA_CENTRE, time.monotonic())
+            self.evacuation_changes.append(change)
+            await self.send_evacuation("POST")
+            change.acknowledged_s = time.monotonic()
+            hold_s = self.random.choice((MAX_SERVICE_S, MAX_EVACUATION_S))
+            hold_s *= self.random.uniform(0.2, 1.0)
+            await asyncio.sleep(max(0.0, min(hold_s, end_s - time.monotonic())))
+            change.withdrawn_s = time.monotonic()
+            await self.send_evacuation("DELETE")
+            change.ended_s = time.monotonic()
+
+    async def send_evacuation(self, method: str) -> None:
+        """Send an order or its withdrawal, sometimes through two nodes at once."""
+        path = f"/-/evacuations/{EVACUATED_DATA_CENTRE}"
+        count = self.random.choice((1, 2))
+        await asyncio.gather(
+            *(self.send_until_acknowledged(method, path) for _ in range(count))
+        )
+
     async def send_invalid(self) -> None:
         """Send a configuration with an unknown service; record if it is accepted."""
         body = make_configuration(len(self.configuration_changes) + 1)
--- a/harness/soak/soak_history.py
+++ b/harness/soak/soak_history.py
@@ -38,12 +38,25 @@
         times = self.node_fault_times_s.get(host, ())
         return not any(start_s - FAULT_RECOVERY_S <= t <= end_s for t in times)
 
+    def is_evacuated(self, data_centre: str, start_s: float, end_s: float) -> bool:
+        """Whether an evacuation may have been in force in some part of a span."""
+        return any(
+            change.data_centre == data_centre
+            and change.sent_s <= end_s
+            and start_s <= change.ended_s + FAULT_RECOVERY_S
+            for change in self.operator.evacuation_changes
+        )
+
     def has_target(self, build: str, start_s: float, end_s: float) -> bool:
-        """Whether one engine of a build served through a span and was not leaving."""
+        """Whether one engine of a build served through a span.
+
+        It was not leaving, and its data centre was not evacuated.
+        """
         return any(
             period.service == ENGINE_SERVICE
             and period.build == build
             and period.started_s <= start_s
             and end_s < period.ended_s
+            and not self.is_evacuated(period.data_centre, start_s, end_s)
             for period in self.journal.serving_periods
         )
--- a/src/laburnumpitch/fleet/evacuation_messages.py
+++ b/src/laburnumpitch/fleet/evacuation_messages.py
@@ -30,7 +30,7 @@
 
 
 class StoreEvacuation(Message):
-    """Log command: changes a data centre's evacuation unless a newer change was made."""
+    """Log command: changes an evacuation unless a newer change was made."""
 
     data_centre: str
     is_evacuated: bool
--- a/src/laburnumpitch/fleet/fleet_view.py
+++ b/src/laburnumpitch/fleet/fleet_view.py
@@ -14,6 +14,7 @@
 from ..control.raft_messages import Member
 from ..errors import InvalidConfigurationError, LaburnumpitchError
 from ..logging import get_logger
+from ..policy.evacuation import Evacuations
 from ..policy.weight_history import WeightHistory
 from ..relay.configuration import RoutingConfiguration
 from .leader_client import LeaderClient
@@ -238,10 +239,25 @@
             return
         if self.facts is None:
             self.apply_facts(snapshot.facts)
+        else:
+            self.merge_evacuations(snapshot.facts)
         self.targets.apply_changes(snapshot.targets, self.get_time_s())
         self.apply_configuration(snapshot.configuration, snapshot.context_epoch)
         self.notify_listeners()
 
+    def merge_evacuations(self, facts: FleetFacts) -> None:
+        """Apply newer evacuations of another node, whose targets are applied, too."""
+        merged = Evacuations(self.evacuated, self.evacuation_revisions).merge(
+            Evacuations(frozenset(facts.evacuated), facts.evacuation_revisions)
+        )
+        self.evacuated = merged.evacuated
+        self.evacuation_revisions = dict(merged.revisions)
+        self.facts = replace(
+            self.facts,
+            evacuated=sorted(self.evacuated),
+            evacuation_revisions=self.evacuation_revisions,
+        )
+
     def apply_facts(self, facts: FleetFacts) -> None:
         """Apply the fleet's facts."""
         self.facts = facts
--- a/src/laburnumpitch/policy/evacuation.py
+++ b/src/laburnumpitch/policy/evacuation.py
@@ -50,6 +50,18 @@
         revisions = {**self.revisions, data_centre: base_revision + 1}
         return Evacuations(evacuated, revisions)
 
+    def merge(self, other: Evacuations) -> Evacuations:
+        """Return the newer state of each data centre, of two that nodes have."""
+        newer = {
+            name
+            for name, revision in other.revisions.items()
+            if revision > self.get_revision(name)
+        }
+        return Evacuations(
+            (self.evacuated - newer) | (other.evacuated & newer),
+            {**self.revisions, **{name: other.revisions[name] for name in newer}},
+        )
+
     def is_as_ordered(self, data_centre: str, is_evacuated: bool) -> bool:
         """Whether a data centre is in the state that an operator ordered."""
         return (data_centre in self.evacuated) == is_evacuated
--- a/src/laburnumpitch/relay/evacuation_watch.py
+++ b/src/laburnumpitch/relay/evacuation_watch.py
@@ -33,17 +33,16 @@
         records = view.targets.get_records()
         left = find_usable([record.data_centre for record in records], view.evacuated)
         for data_centre in sorted(view.evacuated ^ self.evacuated):
-            self.log.info(
-                (
-                    "evacuation_in_force"
-                    if data_centre in view.evacuated
-                    else "evacuation_ended"
-                ),
-                data_centre=data_centre,
-                revision=view.evacuation_revisions.get(data_centre, 0),
-                targets=sum(r.data_centre == data_centre for r in records),
-                targets_left=len(left),
-                contact_age_s=round(view.get_contact_age_s(), 2),
-            )
+            fields = {
+                "data_centre": data_centre,
+                "revision": view.evacuation_revisions.get(data_centre, 0),
+                "targets": sum(r.data_centre == data_centre for r in records),
+                "targets_left": len(left),
+                "contact_age_s": round(view.get_contact_age_s(), 2),
+            }
+            if data_centre in view.evacuated:
+                self.log.info("evacuation_in_force", **fields)
+            else:
+                self.log.info("evacuation_ended", **fields)
         self.evacuated = view.evacuated
         self.metrics.set_gauge("evacuation.active", len(view.evacuated))
--- a/tests/fleet/test_evacuation.py
+++ b/tests/fleet/test_evacuation.py
@@ -36,7 +36,7 @@
 
 
 class EvacuationCase(FleetCase):
-    """Base of tests with a configured fleet of three nodes with a disk and one without."""
+    """Base of tests with a configured fleet of four nodes, one without a disk."""
 
     def run_configured(self, scenario) -> None:
         """Start a fleet, put a configuration in force and run a scenario."""
@@ -54,7 +54,7 @@
     """Calls of an operator, each to another node."""
 
     def test_answers(self) -> None:
-        """Each is answered as often as it is sent, and in force on every node by then."""
+        """Each is answered as often as it is sent; every node has it by then."""
 
         async def scenario(fleet: Fleet) -> None:
             for number, (method, name, status, evacuated) in enumerate(
@@ -81,7 +81,7 @@
         self.run_configured(scenario)
 
     def test_before_the_first_configuration(self) -> None:
-        """An order is accepted, of a data centre that only stores may have, and kept."""
+        """An order is kept; the configuration may name the data centre first."""
 
         async def scenario(fleet: Fleet) -> None:
             await fleet.start()
--- /dev/null
+++ b/tests/fleet/test_evacuation_processes.py
@@ -0,0 +1,134 @@
+"""Evacuations at a fleet of real processes that are killed after an acknowledgement."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import testtools
+
+from harness.soak.fleet import SoakFleet, make_run_folder
+from harness.soak.operator import HOST, SoakOperator
+from laburnumpitch.errors import LaburnumpitchError
+from laburnumpitch.transport.http_client import HttpClient
+from standins.platform_target import Journal, PlatformTarget
+
+from .fleet_case import WAIT_S, wait_until
+
+EVACUATED, OTHER = "dc-b", "dc"
+PATH = f"/-/evacuations/{EVACUATED}"
+
+REQUESTS = 20
+"""Requests to each node; at random, all would miss one of two targets once in a million
+runs."""
+
+
+class KilledProcessTest(testtools.TestCase):
+    """Nodes are killed right after an order was acknowledged."""
+
+    scenarios = [
+        ("leader", {"kills_all": False, "wipes": False}),
+        ("all", {"kills_all": True, "wipes": False}),
+        ("wiped_disk", {"kills_all": True, "wipes": True}),
+    ]
+
+    def test_order_is_obeyed(self) -> None:
+        """No request reaches the data centre until the withdrawal."""
+        asyncio.run(self.run_scenario())
+
+    async def run_scenario(self) -> None:
+        """Start processes and targets, run the scenario and stop them."""
+        self.fleet = SoakFleet(4, 3, make_run_folder())
+        self.journal = Journal()
+        targets = [self.make_target(name) for name in (EVACUATED, OTHER)]
+        try:
+            self.fleet.start()
+            for target in targets:
+                await target.start()
+                target.address = f"127.0.0.1:{target.port}"
+            self.operator = SoakOperator(self.fleet, random.Random(1))
+            await self.operator.change_configuration()
+            await asyncio.to_thread(self.fleet.wait_until_configured)
+            await self.send_until({EVACUATED, OTHER})
+            await self.operator.send_until_acknowledged("POST", PATH)
+            await asyncio.to_thread(self.restart_nodes)
+            await wait_until(self.have_all_contact)
+            self.journal.arrivals.clear()
+            for host in self.fleet.hosts:
+                for _ in range(REQUESTS):
+                    self.assertEqual(200, await self.send(host))
+            self.assertEqual({OTHER}, self.list_used())
+            await self.operator.send_until_acknowledged("DELETE", PATH)
+            await self.send_until({EVACUATED, OTHER})
+        finally:
+            for target in targets:
+                await target.crash()
+            await asyncio.to_thread(self.fleet.close)
+        self.fleet.remove_files()
+
+    def make_target(self, data_centre: str) -> PlatformTarget:
+        """Return a target of a data centre, not yet started."""
+        target = PlatformTarget(
+            data_centre,
+            "shop-b",
+            False,
+            self.fleet.list_control_addresses,
+            self.journal,
+            frozenset(),
+            1,
+        )
+        target.data_centre = data_centre
+        return target
+
+    def restart_nodes(self) -> None:
+        """Kill the leader or all nodes at once, and start them again."""
+        leader = self.find_leader()
+        hosts = self.fleet.hosts if self.kills_all else [leader]
+        for host in hosts:
+            self.fleet.nodes[host].kill()
+        if self.wipes:
+            self.fleet.wipe_disk(leader)
+        self.counts = {host: self.count_contacts(host) for host in hosts}
+        for host in hosts:
+            self.fleet.restart(host)
+
+    def find_leader(self) -> str:
+        """Return the host that nodes have found as the leader last."""
+        output = self.fleet.nodes[self.fleet.hosts[3]].read_output()
+        last = [line for line in output.splitlines() if "event=leader_found" in line]
+        return last[-1].partition("leader=")[2].split()[0]
+
+    def count_contacts(self, host: str) -> int:
+        """Return how often a node has found a leader."""
+        return self.fleet.nodes[host].read_output().count("event=leader_found")
+
+    def have_all_contact(self) -> bool:
+        """Whether every restarted node has found a leader since."""
+        return all(self.count_contacts(h) > n for h, n in self.counts.items())
+
+    def list_used(self) -> set[str]:
+        """Return the data centres whose targets got requests."""
+        return {arrival.data_centre for arrival in self.journal.arrivals}
+
+    async def send_until(self, used: set[str]) -> None:
+        """Send requests to all nodes until targets of these data centres got some."""
+        self.journal.arrivals.clear()
+        async with asyncio.timeout(WAIT_S):
+            while self.list_used() != used:
+                for host in self.fleet.hosts:
+                    await self.send(host)
+
+    async def send(self, host: str) -> int:
+        """Send a request to a node and return the status, 0 without an answer."""
+        client = HttpClient(f"{host}:{self.fleet.client_port}")
+        headers = [("attempt-id", "a1"), ("authorization", "Bearer key-north")]
+        try:
+            answer = await client.request(
+                "POST", "/read/x", headers, b"", first_byte_timeout_s=5.0, host=HOST
+            )
+            await answer.read()
+            return answer.status
+        except LaburnumpitchError:
+            return 0
+        finally:
+            client.close()
--- a/tests/harness/test_soak.py
+++ b/tests/harness/test_soak.py
@@ -17,6 +17,7 @@
 from harness.soak.operator import (
     ENGINE_SERVICE,
     ConfigurationChange,
+    EvacuationChange,
     SoakOperator,
     WeightVersionChange,
 )
@@ -149,6 +150,17 @@
     return replace(Journal(), **changes)
 
 
+def make_evacuated_history(at_s: float) -> SoakHistory:
+    """Return a history with a request at a target that is evacuated for some time."""
+    history = make_history(
+        [make_record(sent_s=at_s - 0.1, ended_s=at_s + 0.1)],
+        [make_arrival(at_s=at_s, data_centre="dc-b")],
+    )
+    change = EvacuationChange("dc-b", 9.0, 10.0, 20.0, 21.0)
+    history.operator.evacuation_changes.append(change)
+    return history
+
+
 class ViolationDetectionTest(testtools.TestCase):
     """Histories with one violation each, which the named check must report."""
 
@@ -287,6 +299,13 @@
                 ),
             },
         ),
+        (
+            "work_for_an_evacuated_target",
+            {
+                "name": "evacuated_targets_get_no_work",
+                "history": make_evacuated_history(at_s=16.0),
+            },
+        ),
         (
             "old_service",
             {
@@ -385,6 +404,8 @@
         """No check reports a violation of a correct history."""
         histories = [
             make_history([make_record()], [make_arrival()]),
+            make_evacuated_history(at_s=14.0),
+            make_evacuated_history(at_s=25.0),
             make_history(
                 [make_stream(), make_take_up()],
                 [make_arrival(), make_arrival(attempt="a2")],
--- a/tests/policy/test_evacuation.py
+++ b/tests/policy/test_evacuation.py
@@ -50,6 +50,18 @@
         self.assertIn(NORTH, state.evacuated)
 
 
+class MergeTest(testtools.TestCase):
+    """Two nodes start anew, each with what it has read from its file."""
+
+    def test_newer_of_each_data_centre(self) -> None:
+        """A withdrawal and an order that the node has not seen are both applied."""
+        own = Evacuations(frozenset({NORTH, "west"}), {NORTH: 1, "west": 3})
+        other = Evacuations(frozenset({SOUTH}), {NORTH: 2, SOUTH: 1, "west": 2})
+        merged = own.merge(other)
+        self.assertEqual({SOUTH, "west"}, merged.evacuated)
+        self.assertEqual({NORTH: 2, SOUTH: 1, "west": 3}, merged.revisions)
+
+
 class LoadTest(testtools.TestCase):
     """A data centre is evacuated, returns and is evacuated again under full load."""
 
