--- a/tests/fleet/test_evacuation.py
+++ b/tests/fleet/test_evacuation.py
@@ -7,8 +7,14 @@
 import msgspec
 import testscenarios
 
-from laburnumpitch.fleet.evacuation_messages import PutEvacuation
+from laburnumpitch.fleet.evacuation_messages import (
+    PutEvacuation,
+    ReadEvacuation,
+    StoreEvacuation,
+)
+from laburnumpitch.fleet.fleet_state import FleetState
 from laburnumpitch.fleet.messages import FleetFacts
+from laburnumpitch.fleet.snapshot_file import MIN_WRITE_INTERVAL_S
 from laburnumpitch.platform.evacuation_calls import EVACUATIONS_PATH, PROPOSAL_WINDOW_S
 
 from .fleet_case import (
@@ -161,40 +167,92 @@
 
 
 class DelayedCallTest(EvacuationCase):
-    """A node that read the revision passes the order on after a newer change."""
-
-    scenarios = [("late", {"is_late": True}), ("at_once", {"is_late": False})]
+    """A node passes an order on after a newer change."""
+
+    scenarios = [
+        (
+            "read_late",
+            {"held": ReadEvacuation, "pause_s": PROPOSAL_WINDOW_S, "bases": []},
+        ),
+        (
+            "proposed_late",
+            {"held": PutEvacuation, "pause_s": PROPOSAL_WINDOW_S, "bases": [0]},
+        ),
+        ("in_time", {"held": PutEvacuation, "pause_s": 0.0, "bases": [0, 1]}),
+        (
+            "disconnected",
+            {"held": ReadEvacuation, "pause_s": 0.0, "bases": [], "stays": False},
+        ),
+    ]
+    stays = True
+    """Whether the operator waits for the answer."""
 
     def test_newer_change_stays(self) -> None:
-        """It starts again while its operator waits for less than a second."""
+        """It starts again only while its operator waits, for less than a second."""
 
         async def scenario(fleet: Fleet) -> None:
             calls = fleet.nodes[fleet.hosts[3]].control_server.handler.__self__
             client = calls.evacuation_calls.leader_client
-            call, release, bases = client.call, asyncio.Event(), []
+            call, is_held, release = client.call, asyncio.Event(), asyncio.Event()
+            bases = []
 
             async def hold_call(request, *args):
+                if isinstance(request, self.held):
+                    is_held.set()
+                    await release.wait()
                 if isinstance(request, PutEvacuation):
                     bases.append(request.base_revision)
-                    await release.wait()
                 return await call(request, *args)
 
             client.call = hold_call
             late = asyncio.create_task(fleet.call(fleet.hosts[3], ORDER, PATH))
-            await wait_until(lambda: bases)
+            await is_held.wait()
             self.assertEqual(200, await send(fleet, fleet.hosts[0], WITHDRAW))
-            if self.is_late:
-                await asyncio.sleep(PROPOSAL_WINDOW_S)
-            release.set()
-            status, _ = await late
-            self.assertEqual(503 if self.is_late else 200, status)
-            self.assertEqual([0] if self.is_late else [0, 1], bases)
-            expected = [] if self.is_late else ["dc"]
-            self.assertEqual([expected] * 4, list_evacuated(fleet))
+            await asyncio.sleep(self.pause_s)
+            is_accepted = self.bases == [0, 1]
+            if self.stays:
+                release.set()
+                self.assertEqual(200 if is_accepted else 503, (await late)[0])
+            else:
+                late.cancel()
+                await asyncio.wait({late})
+                await wait_until(lambda: not calls_in_progress(fleet))
+                release.set()
+            self.assertEqual(self.bases, bases)
+            self.assertEqual([["dc"] if is_accepted else []] * 4, list_evacuated(fleet))
 
         self.run_configured(scenario)
 
 
+def calls_in_progress(fleet: Fleet) -> int:
+    """Return the number of calls that the last node's control server answers."""
+    return fleet.nodes[fleet.hosts[3]].control_server.active_requests
+
+
+class FileTest(EvacuationCase):
+    """A node starts again, and reaches no other one."""
+
+    def test_read_from_the_view(self) -> None:
+        """It obeys the order that it has in its file."""
+
+        async def scenario(fleet: Fleet) -> None:
+            self.assertEqual(200, await send(fleet, fleet.hosts[0], ORDER))
+            await asyncio.sleep(2 * MIN_WRITE_INTERVAL_S)
+            await fleet.stop()
+            await fleet.start(fleet.hosts[0])
+            self.assertEqual([["dc"]], list_evacuated(fleet))
+
+        self.run_configured(scenario)
+
+    def test_snapshot_of_the_log(self) -> None:
+        """A replica that has a snapshot instead of the entries has the evacuations."""
+        state = FleetState()
+        self.assertEqual(1, state.apply(StoreEvacuation("dc", True, 0)))
+        self.assertEqual(0, state.apply(StoreEvacuation("dc", False, 0)))
+        self.assertEqual(state.state, FleetState(state.dump()).state)
+        self.assertEqual(["dc"], state.state.evacuated)
+
+
 class OlderLeaderTest(EvacuationCase):
     """A leader whose software knows no evacuations publishes the facts."""
 
