Evacuation: calls of unknown age, voters that were replaced, size of placement calls

Cause: a node that was suspended may read a call that is seconds old; a replaced voter of older software would block orders for the rest of a term; the evacuated targets in each placement call would be 18 identifiers at 526 calls/s. Change: 503 without a leader's answer lately; only members and reachable nodes count; evacuated targets are not listed, the coordinator knows them.

--- a/src/laburnumpitch/fleet/evacuation_service.py
+++ b/src/laburnumpitch/fleet/evacuation_service.py
@@ -104,10 +104,16 @@
         """
         if publisher.replica.state_machine.state.evacuation_revisions:
             return
+        subscriptions = publisher.subscriptions
+        hosts = {member.name for member in publisher.replica.core.members}
+        # A node that joins with a new replica is no member yet.
+        hosts.update(subscriptions.list_live_hosts())
         older = [
             host
-            for host, subscriber in sorted(publisher.subscriptions.by_host.items())
-            if subscriber.node.has_disk and not subscriber.node.knows_evacuations
+            for host, subscriber in sorted(subscriptions.by_host.items())
+            if host in hosts
+            and subscriber.node.has_disk
+            and not subscriber.node.knows_evacuations
         ]
         if older:
             raise ChangeDelayedError(f"older software on {', '.join(older[:5])}")
--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -203,7 +203,9 @@
     def make_servers(self) -> None:
         """Make the HTTP servers for clients, the platform, operators and metrics."""
         settings = self.settings
-        control_api = ControlApi(self.leader_client)
+        control_api = ControlApi(
+            self.leader_client, lambda: self.fleet_view.has_leader_contact
+        )
         ready_api = ReadinessApi(self.is_ready)
         self.client_server = HttpServer(
             *split_address(settings.client_address), self.relay.api.handle
--- a/src/laburnumpitch/platform/control_api.py
+++ b/src/laburnumpitch/platform/control_api.py
@@ -55,11 +55,14 @@
 
     Args:
         leader_client: Finds and calls the leader.
+        has_leader_contact: Returns whether a leader has answered this node lately.
     """
 
-    def __init__(self, leader_client: LeaderClient) -> None:
+    def __init__(
+        self, leader_client: LeaderClient, has_leader_contact: Callable[[], bool]
+    ) -> None:
         self.leader_client = leader_client
-        self.evacuation_calls = EvacuationCalls(leader_client)
+        self.evacuation_calls = EvacuationCalls(leader_client, has_leader_contact)
         self.log = get_logger()
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
--- a/src/laburnumpitch/platform/evacuation_calls.py
+++ b/src/laburnumpitch/platform/evacuation_calls.py
@@ -36,15 +36,19 @@
 
     Args:
         leader_client: Finds and calls the leader.
+        has_leader_contact: Returns whether a leader has answered this node lately. A
+            node that was suspended has calls of unknown age, which it refuses.
         get_time_s: Monotonic time that goes on while the process is suspended.
     """
 
     def __init__(
         self,
         leader_client: LeaderClient,
+        has_leader_contact: Callable[[], bool],
         get_time_s: Callable[[], float] = get_boottime_s,
     ) -> None:
         self.leader_client = leader_client
+        self.has_leader_contact = has_leader_contact
         self.get_time_s = get_time_s
         self.log = get_logger()
 
@@ -68,6 +72,8 @@
         Raises:
             LaburnumpitchError: If the change is not acknowledged.
         """
+        if not self.has_leader_contact():
+            raise ChangeDelayedError("no leader has answered lately")
         deadline_s = self.get_time_s() + PROPOSAL_WINDOW_S
         while True:
             read = await self.leader_client.call(
--- a/src/laburnumpitch/relay/target_catalog.py
+++ b/src/laburnumpitch/relay/target_catalog.py
@@ -151,11 +151,15 @@
         return None
 
     def list_avoided_ids(self, service: str, build: str) -> list[str]:
-        """Return the targets of a service that get no new requests of this node."""
+        """Return the targets of a service that get no new requests of this node.
+
+        Evacuated targets, which may be half of them, are not listed in each call of a
+        coordinator: it knows them itself.
+        """
         usable_ids = {target.target_id for target in self.get_targets(service, build)}
         return [
             target.target_id
-            for target in self.by_service.get(service, [])
+            for target in self.select_in_service(self.by_service.get(service, []))
             if target.target_id not in usable_ids and build in ("", target.build)
         ]
 
--- a/tests/fleet/test_evacuation.py
+++ b/tests/fleet/test_evacuation.py
@@ -7,6 +7,7 @@
 import msgspec
 import testscenarios
 
+from laburnumpitch.errors import ChangeDelayedError
 from laburnumpitch.fleet.evacuation_messages import (
     PutEvacuation,
     ReadEvacuation,
@@ -15,7 +16,11 @@
 from laburnumpitch.fleet.fleet_state import FleetState
 from laburnumpitch.fleet.messages import FleetFacts
 from laburnumpitch.fleet.snapshot_file import MIN_WRITE_INTERVAL_S
-from laburnumpitch.platform.evacuation_calls import EVACUATIONS_PATH, PROPOSAL_WINDOW_S
+from laburnumpitch.platform.evacuation_calls import (
+    EVACUATIONS_PATH,
+    PROPOSAL_WINDOW_S,
+    EvacuationCalls,
+)
 
 from .fleet_case import (
     POLL_INTERVAL_S,
@@ -229,6 +234,16 @@
     return fleet.nodes[fleet.hosts[3]].control_server.active_requests
 
 
+class SuspendedNodeTest(FleetCase):
+    """A node was suspended, and reads a call that came before that."""
+
+    def test_refused(self) -> None:
+        """It refuses the call until a leader has answered it."""
+        calls = EvacuationCalls(None, lambda: False)
+        with self.assertRaises(ChangeDelayedError):
+            asyncio.run(calls.change("dc", True))
+
+
 class FileTest(EvacuationCase):
     """A node starts again, and reaches no other one."""
 
