Merge evacuation of data centres

The queue of a request has service, build and allowed regions; the refusal of a queued request asks for all three.

--- a/src/laburnumpitch/fleet/fleet_view.py
+++ b/src/laburnumpitch/fleet/fleet_view.py
@@ -14,6 +14,7 @@
 from ..control.raft_messages import Member
 from ..errors import InvalidConfigurationError, LaburnumpitchError
 from ..logging import get_logger
+from ..policy.evacuation import Evacuations
 from ..policy.weight_history import WeightHistory
 from ..relay.configuration import RoutingConfiguration
 from .leader_client import LeaderClient
@@ -85,6 +86,10 @@
         self.builds: dict[str, dict[str, bool]] | None = None
         """Committed builds by service, and whether streams may begin on them; None if
         the leader does not record them."""
+        self.evacuated: frozenset[str] = frozenset()
+        """Data centres whose targets get no requests."""
+        self.evacuation_revisions: dict[str, int] = {}
+        """Number of changes of each data centre's evacuation."""
         self.members: list[Member] = []
         """Members of the replicated log."""
         self.facts: FleetFacts | None = None
@@ -234,10 +239,25 @@
             return
         if self.facts is None:
             self.apply_facts(snapshot.facts)
+        else:
+            self.merge_evacuations(snapshot.facts)
         self.targets.apply_changes(snapshot.targets, self.get_time_s())
         self.apply_configuration(snapshot.configuration, snapshot.context_epoch)
         self.notify_listeners()
 
+    def merge_evacuations(self, facts: FleetFacts) -> None:
+        """Apply newer evacuations of another node, whose targets are applied, too."""
+        merged = Evacuations(self.evacuated, self.evacuation_revisions).merge(
+            Evacuations(frozenset(facts.evacuated), facts.evacuation_revisions)
+        )
+        self.evacuated = merged.evacuated
+        self.evacuation_revisions = dict(merged.revisions)
+        self.facts = replace(
+            self.facts,
+            evacuated=sorted(self.evacuated),
+            evacuation_revisions=self.evacuation_revisions,
+        )
+
     def apply_facts(self, facts: FleetFacts) -> None:
         """Apply the fleet's facts."""
         self.facts = facts
@@ -251,6 +271,8 @@
         self.suspect_pieces = frozenset(facts.suspect_pieces)
         self.assignments = facts.keepers
         self.builds = facts.builds
+        self.evacuated = frozenset(facts.evacuated)
+        self.evacuation_revisions = facts.evacuation_revisions
         self.members = facts.members
         self.hosts = facts.hosts
         self.node_count = max(1, len(facts.hosts))
--- a/src/laburnumpitch/metrics.py
+++ b/src/laburnumpitch/metrics.py
@@ -66,6 +66,8 @@
         "placements",
         "Placements of coordinators outside the allowed regions.",
     ),
+    Metric("evacuation.active", "gauge", "data centres", "Evacuated data centres."),
+    Metric("evacuation.refused", "counter", "requests", "Refused as evacuated."),
     Metric("task.failed", "counter", "errors", "Unexpected errors of tasks."),
     Metric("quarantine.fingerprints", "gauge", "fingerprints", "Quarantined requests."),
 )
--- a/src/laburnumpitch/relay/dispatcher.py
+++ b/src/laburnumpitch/relay/dispatcher.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from .._tasks import TASK_FAILURES
-from ..errors import NoTargetError, OverloadedError
+from ..errors import OverloadedError
 from ..fleet.load_totals import NO_LOAD
 from ..fleet.messages import FleetLoad, PlaceAnswer, PlaceCall, TargetRecord
 from ..policy.capacity import TargetCapacity, has_capacity
@@ -99,6 +99,7 @@
         self.catalog.update()
         for key in apply_restrictions(self.queue, self.catalog):
             self.start_dispatching(key)
+        self.queue.refuse(self.catalog.find_refusal)
         self.wake_queues()
 
     def count_queued(self) -> int:
@@ -125,10 +126,12 @@
             OverloadedError: If no target had capacity in time.
         """
         regions = self.catalog.region_rules.get_allowed_regions(admitted)
-        service = admitted.service
-        if not self.catalog.has_other_target(service, build, excluded, regions):
+        key = (admitted.service, build, regions)
+        if not self.catalog.has_other_target(
+            admitted.service, build, excluded, regions
+        ):
             self.catalog.region_rules.record_no_target(admitted, regions)
-            raise NoTargetError(f"{service} has no target")
+            raise self.catalog.make_refusal(key, excluded)
         if not self.has_queue_ahead(admitted, build):
             target = await self.try_acquire(admitted, excluded, build)
             if target is not None:
@@ -213,9 +216,10 @@
 
         Later requests do not overtake it, or large prompts would never be dispatched.
         """
-        if self.catalog.has_only_shedding(*queued.key):
+        refusal = self.catalog.find_refusal(queued.key, queued.excluded)
+        if refusal is not None:
             self.queue.discard(queued)
-            queued.fail(NoTargetError(f"targets of {queued.key[0]} want no requests"))
+            queued.fail(refusal)
             return
         wakeup = self.wakeup
         target = await self.try_acquire(queued.admitted, queued.excluded, queued.build)
--- a/src/laburnumpitch/relay/target_catalog.py
+++ b/src/laburnumpitch/relay/target_catalog.py
@@ -4,16 +4,19 @@
 
 from collections.abc import Callable, Container
 
+from ..errors import EvacuatedError, NoTargetError, TargetEvacuatedError
 from ..fleet.fleet_view import FleetView
 from ..fleet.messages import PlaceCall, TargetRecord
 from ..fleet.store_owner import REMOTE_TRANSFER_FACTOR
 from ..metrics import Metrics
+from ..policy.evacuation import find_usable
 from ..policy.leaving_targets import DRAIN_S
 from ..policy.regions import AllowedRegions
 from ..policy.target_selection import PREFILL_TOKENS_PER_S, TargetCandidate
 from .configuration import EngineSpec, StoreSpec
 from .leaving_targets import LeavingTargets
 from .region_rules import RegionRules
+from .request_queue import QueueKey
 from .shedding_targets import SheddingTargets
 from .store_choice import find_store
 from .target_statistics import TargetStatistics, TargetStats
@@ -103,7 +106,7 @@
     def get_staying_targets(
         self, service: str, build: str, allowed_regions: AllowedRegions = None
     ) -> list[TargetRecord]:
-        """Return the targets of a service that are not leaving.
+        """Return the targets of a service that are neither leaving nor evacuated.
 
         If all of them said in answers that they are leaving, these are returned for a
         limited time.
@@ -117,15 +120,73 @@
         if build:
             targets = [target for target in targets if target.build == build]
         targets = self.region_rules.select_allowed(targets, allowed_regions)
-        return self.leaving.select_usable(targets)
+        return self.leaving.select_usable(self.select_in_service(targets))
+
+    def select_in_service(self, targets: list[TargetRecord]) -> list[TargetRecord]:
+        """Return the targets whose data centres are not evacuated."""
+        evacuated = self.fleet_view.evacuated
+        if not evacuated:
+            return targets
+        data_centres = [target.data_centre for target in targets]
+        return [targets[index] for index in find_usable(data_centres, evacuated)]
+
+    def check_in_service(self, target: TargetRecord) -> None:
+        """Check, right before a request is sent, that a target is not evacuated.
+
+        Raises:
+            TargetEvacuatedError: If it is.
+        """
+        if not self.select_in_service([target]):
+            raise TargetEvacuatedError(f"{target.data_centre} is evacuated", sent=False)
+
+    def make_refusal(self, key: QueueKey, excluded: Container[str]) -> NoTargetError:
+        """Return the error of a request for which a service has no target left.
+
+        Args:
+            key: Service, build and allowed regions of the request.
+            excluded: Targets that are excluded.
+        """
+        service, build, allowed_regions = key
+        targets = self.by_service.get(service, [])
+        left = [
+            target
+            for target in self.region_rules.select_allowed(targets, allowed_regions)
+            if target.target_id not in excluded and build in ("", target.build)
+        ]
+        if left and not self.select_in_service(left):
+            return EvacuatedError(f"all targets of {service} are evacuated")
+        return NoTargetError(f"{service} has no target")
+
+    def find_refusal(
+        self, key: QueueKey, excluded: Container[str]
+    ) -> NoTargetError | None:
+        """Return the error of a queued request that no target will run, or None.
+
+        All targets that may run it are evacuated, or all targets of the service ask
+        this node for no requests.
+
+        Args:
+            key: Service, build and allowed regions of the request.
+            excluded: Targets that are excluded.
+        """
+        refusal = self.make_refusal(key, excluded)
+        if isinstance(refusal, EvacuatedError):
+            return refusal
+        if self.has_only_shedding(*key):
+            return NoTargetError(f"targets of {key[0]} want no requests")
+        return None
 
     def list_avoided_ids(
         self, service: str, build: str, allowed_regions: AllowedRegions
     ) -> list[str]:
-        """Return the allowed targets of a service that get no new requests here."""
+        """Return the allowed targets of a service that get no new requests here.
+
+        Evacuated targets, which may be half of them, are not listed in each call of a
+        coordinator: it knows them itself.
+        """
         usable = self.get_targets(service, build, allowed_regions)
         usable_ids = {target.target_id for target in usable}
-        targets = self.by_service.get(service, [])
+        targets = self.select_in_service(self.by_service.get(service, []))
         return [
             target.target_id
             for target in self.region_rules.select_allowed(targets, allowed_regions)
