Keep the origins of streams on a group of nodes; close idle connections

Cause: each node told two nodes of the whole fleet of each resumable stream, so that all nodes were soon connected to all others, each connection with heartbeats both ways every 0.5 s: at 83 nodes up to 6,800 connections against 405 requests a second. Change: the holders are a group of 8, or the square root of the nodes if that is more; connections without a message for 15 s are closed.

--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -270,6 +270,7 @@
                 self.fleet_view.hosts if has_contact else ()
             )
             await asyncio.sleep(SEED_CHECK_INTERVAL_S)
+            self.rpc_pool.close_idle()
             # The settings file may change without a signal.
             self.reload_seed_hosts()
             if not self.fleet_view.has_leader_contact:
--- a/src/laburnumpitch/relay/stream_origins.py
+++ b/src/laburnumpitch/relay/stream_origins.py
@@ -18,6 +18,7 @@
 from ..logging import get_logger
 from ..metrics import Metrics
 from ..policy.build_history import infer_build
+from ..policy.origin_holders import choose_holders
 from ..policy.target_selection import rank_by_rendezvous_hash
 from ..transport.rpc import RpcPool
 from .request import AdmittedRequest
@@ -80,6 +81,9 @@
         self.get_time_s = get_time_s
         self.known: OrderedDict[str, tuple[StreamOrigin, float]] = OrderedDict()
         """Origin of each stream and when it began, by attempt, oldest first."""
+        self.hosts: list[str] = []
+        """Hosts of the fleet from which `holders` were chosen."""
+        self.holders: list[str] = []
         self.log = get_logger()
 
     def record(self, attempt_id: str, origin: StreamOrigin) -> None:
@@ -105,10 +109,14 @@
             self.pool.get(f"{host}:{self.rpc_port}").notify(notice)
 
     def rank_holders(self, attempt_id: str) -> list[str]:
-        """Return the other live nodes in the order in which they hold an origin."""
+        """Return the other holders in the order in which they hold an origin."""
+        hosts = self.fleet_view.hosts
+        if hosts is not self.hosts:
+            self.hosts = hosts
+            self.holders = choose_holders(hosts)
         own_host = self.fleet_view.node.host
-        hosts = [host for host in self.fleet_view.hosts if host != own_host]
-        return rank_by_rendezvous_hash(attempt_id, hosts)
+        others = [host for host in self.holders if host != own_host]
+        return rank_by_rendezvous_hash(attempt_id, others)
 
     def store(self, attempt_id: str, origin: StreamOrigin) -> None:
         """Remember an origin, and drop those that are out of date."""
--- a/src/laburnumpitch/transport/rpc.py
+++ b/src/laburnumpitch/transport/rpc.py
@@ -27,27 +27,11 @@
 from ..logging import get_logger
 from ._client_pool import ClientPool
 from ._message_socket import MessageSocket
-from .codec import MAX_MESSAGE_BYTES, Message, decode, encode
+from ._socket_options import configure_client_socket, configure_socket
+from .codec import Message, decode, encode
 
-HEARTBEAT_INTERVAL_MS = 500
-"""Interval of ZeroMQ's heartbeats, which detect connections that broke unnoticed. Only
-the connecting end sends them; the other end answers."""
-
-HEARTBEAT_TIMEOUT_MS = 1500
-"""Time without data after which either end closes a connection; the connecting end
-reconnects."""
-
-CONNECT_TIMEOUT_MS = 600
-"""Timeout of connecting, needed since a host that is down does not answer at all."""
-
-RECONNECT_INTERVAL_MS = 50
-"""First pause before reconnecting; grows up to `RECONNECT_INTERVAL_MAX_MS`."""
-
-RECONNECT_INTERVAL_MAX_MS = 500
-"""Longest pause before reconnecting."""
-
-MAX_QUEUED_MESSAGES = 1000
-"""Maximum number of messages queued on a connection; further ones are dropped."""
+MAX_IDLE_S = 15.0
+"""Time without a message after which a connection to another process is closed."""
 
 REQUEST_KIND = b"q"
 """Kind of a message that has to be answered."""
@@ -86,26 +70,6 @@
 """Traffic of this process: messages only, without TCP and ZeroMQ framing."""
 
 
-def configure_socket(socket: zmq.Socket) -> None:
-    """Set the socket options that clients and servers share."""
-    socket.setsockopt(zmq.LINGER, 0)
-    socket.setsockopt(zmq.SNDHWM, MAX_QUEUED_MESSAGES)
-    socket.setsockopt(zmq.RCVHWM, MAX_QUEUED_MESSAGES)
-    socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
-
-
-def configure_client_socket(socket: zmq.Socket) -> None:
-    """Set the socket options of a client, which finds connections that broke."""
-    configure_socket(socket)
-    socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
-    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
-    # The server closes the connection after this time without a heartbeat.
-    socket.setsockopt(zmq.HEARTBEAT_TTL, HEARTBEAT_TIMEOUT_MS)
-    socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
-    socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_INTERVAL_MS)
-    socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_INTERVAL_MAX_MS)
-
-
 def make_exception(answer: ErrorAnswer) -> LaburnumpitchError:
     """Return the exception that an error answer describes."""
     error_class = get_error_classes().get(answer.code, InternalError)
@@ -273,6 +237,8 @@
         self.socket.start()
         self.request_numbers = itertools.count(1)
         self.pending_requests: dict[bytes, PendingCall] = {}
+        self.used_s = self.loop.time()
+        """Time of the event loop at which a message was sent last."""
 
     def close(self) -> None:
         """Fail the pending requests and close the connection."""
@@ -353,6 +319,7 @@
             RpcTimeoutError: If the queue is full.
         """
         payload = encode(item)
+        self.used_s = self.loop.time()
         TRAFFIC.sent_bytes += len(payload)
         TRAFFIC.sent_messages += 1
         try:
@@ -385,3 +352,14 @@
 
     def __init__(self, context: zmq.Context) -> None:
         super().__init__(lambda address: RpcClient(context, address))
+
+    def close_idle(self) -> None:
+        """Close the connections that were not used for `MAX_IDLE_S`.
+
+        Each one costs heartbeats, on both ends.
+        """
+        for address, client in list(self.clients.items()):
+            idle_s = client.loop.time() - client.used_s
+            if idle_s > MAX_IDLE_S and not client.pending_requests:
+                del self.clients[address]
+                client.close()
