--- a/tests/relay/test_coordinator.py
+++ b/tests/relay/test_coordinator.py
@@ -196,6 +196,10 @@
         self.calls = 0
         self.notices: list[PlaceProgress] = []
 
+    def start_call(self, call: PlaceCall, timeout_s: float) -> asyncio.Future:
+        """Return the future of a call's answer."""
+        return asyncio.ensure_future(self.call(call, timeout_s))
+
     async def call(self, call: PlaceCall, timeout_s: float) -> PlaceAnswer:
         """Return a placement once the test allows it."""
         self.calls += 1
