--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -7,7 +7,7 @@
 import time
 from pathlib import Path
 
-import zmq.asyncio
+import zmq
 
 from ._tasks import cancel_and_wait, start_loop
 from .clock_sources import get_boottime_s
@@ -88,7 +88,7 @@
             knows_builds=True,
             knows_evacuations=True,
         )
-        self.zmq_context = zmq.asyncio.Context()
+        self.zmq_context = zmq.Context()
         self.rpc_pool = RpcPool(self.zmq_context)
         self.rpc_server = RpcServer(self.zmq_context, settings.host, settings.rpc_port)
         self.leader_client = LeaderClient(
@@ -289,6 +289,7 @@
                 self.fleet_view.hosts if has_contact else ()
             )
             await asyncio.sleep(SEED_CHECK_INTERVAL_S)
+            self.rpc_pool.close_idle()
             # The settings file may change without a signal.
             self.reload_seed_hosts()
             if not self.fleet_view.has_leader_contact:
