--- a/src/laburnumpitch/cli.py
+++ b/src/laburnumpitch/cli.py
@@ -10,6 +10,7 @@
 from . import __version__
 from .control.document import parse_document
 from .errors import LaburnumpitchError, SettingsError
+from .explain_command import add_explain_command
 from .logging import configure_logging
 from .node_runner import run_until_stopped
 from .operator_commands import add_operator_commands
@@ -58,6 +59,7 @@
     check.add_argument("--document", help="file of the document to check")
     check.set_defaults(run=run_check, parser=check)
     add_operator_commands(commands)
+    add_explain_command(commands)
     add_timeline_command(commands)
     return parser
 
--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -187,7 +187,7 @@
     def make_servers(self) -> None:
         """Make the HTTP servers for clients, the platform, operators and metrics."""
         settings = self.settings
-        control_api = ControlApi(self.leader_client)
+        control_api = ControlApi(self.leader_client, self.relay.explainer.explain)
         ready_api = ReadinessApi(self.is_ready)
         self.client_server = HttpServer(
             *split_address(settings.client_address), self.relay.api.handle
--- a/src/laburnumpitch/fleet_relay.py
+++ b/src/laburnumpitch/fleet_relay.py
@@ -7,6 +7,7 @@
 
 from .clock_sources import get_boottime_s
 from .fleet.engine_client import EngineClient
+from .fleet.explain_messages import ExplainPlace
 from .fleet.fleet_view import FleetView
 from .fleet.leader_client import LeaderClient
 from .fleet.messages import (
@@ -25,8 +26,10 @@
 from .relay.context_planner import ContextPlanner
 from .relay.coordinator import Coordinator
 from .relay.dispatcher import Dispatcher
+from .relay.explanation import Explainer
 from .relay.incarnation_check import IncarnationCheck
 from .relay.placement_client import PlacementClient
+from .relay.placement_explanation import PlacementExplanations
 from .relay.region_rules import RegionRules
 from .relay.relay_api import RelayApi
 from .relay.retry_limiter import RetryLimiter
@@ -109,12 +112,17 @@
             get_time_s,
         )
         self.api = RelayApi(self.services, random_source)
+        self.explanations = PlacementExplanations(self.coordinator, self.dispatcher)
+        self.explainer = Explainer(
+            self.api, self.placement_client, self.explanations, pool, port, metrics
+        )
 
     def register(self, server: RpcServer) -> None:
         """Register the handlers of other nodes' messages at a server."""
         server.on(GrantContext, self.store_owners.on_grant)
         server.on(CancelSaves, self.store_owners.on_cancel_saves)
         server.on(PlaceCall, self.coordinator.on_place_call)
+        server.on(ExplainPlace, self.explanations.on_explain_place)
         server.on(PlaceProgress, self.coordinator.on_place_progress)
         server.on(StreamBegun, self.stream_origins.on_stream_begun)
         server.on(FindStream, self.stream_origins.on_find_stream)
--- a/src/laburnumpitch/metrics.py
+++ b/src/laburnumpitch/metrics.py
@@ -66,6 +66,9 @@
         "placements",
         "Placements of coordinators outside the allowed regions.",
     ),
+    Metric(
+        "explain.calls", "counter", "calls", "Requests that operators had explained."
+    ),
     Metric("task.failed", "counter", "errors", "Unexpected errors of tasks."),
     Metric("quarantine.fingerprints", "gauge", "fingerprints", "Quarantined requests."),
 )
--- a/src/laburnumpitch/platform/control_api.py
+++ b/src/laburnumpitch/platform/control_api.py
@@ -19,6 +19,7 @@
 from ..logging import get_logger
 from ..transport.http_server import HttpRequest, Responder
 from .announcements import check_target_id, decode_announcement
+from .explain_api import ExplainRequest, answer_question
 from .wire_values import BoundedText, Count, is_too_deep
 
 INSTANCES_PATH = "/-/instances/"
@@ -28,6 +29,9 @@
 VERSION_PUT_PATH = "/-/version-put"
 """Path at which an operator names the weight version that engines have to serve."""
 
+EXPLAIN_PATH = "/-/explain"
+"""Path at which an operator asks where a request would go."""
+
 READINESS_PATH = "/-/readyz"
 
 ANNOUNCE_TIMEOUT_S = 0.9
@@ -54,10 +58,12 @@
 
     Args:
         leader_client: Finds and calls the leader.
+        explain: Explains where a request would go.
     """
 
-    def __init__(self, leader_client: LeaderClient) -> None:
+    def __init__(self, leader_client: LeaderClient, explain: ExplainRequest) -> None:
         self.leader_client = leader_client
+        self.explain = explain
         self.log = get_logger()
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
@@ -103,6 +109,8 @@
                 decode_version_put(request.body), WRITE_TIMEOUT_S
             )
             return 200, b"{}"
+        if call == ("POST", EXPLAIN_PATH):
+            return 200, await answer_question(self.explain, request.body)
         raise NotFoundError(request.path)
 
     async def handle_target_call(self, request: HttpRequest) -> tuple[int, bytes]:
--- a/src/laburnumpitch/policy/probe_schedule.py
+++ b/src/laburnumpitch/policy/probe_schedule.py
@@ -24,13 +24,22 @@
     def select(
         self, candidates: Sequence[TargetCandidate], are_others_full: bool, now_s: float
     ) -> Sequence[TargetCandidate]:
-        """Return the candidates that a request may be sent to.
+        """Return the candidates that a request may be sent to, which may be a probe.
 
         Args:
             candidates: Targets with capacity.
             are_others_full: Whether reachable targets exist that have no capacity.
             now_s: Monotonic time.
         """
+        found = self.find_open(candidates, are_others_full, now_s)
+        if are_others_full and found and found[0].is_possibly_unreachable:
+            self.probed_s[found[0].target_id] = now_s
+        return found
+
+    def find_open(
+        self, candidates: Sequence[TargetCandidate], are_others_full: bool, now_s: float
+    ) -> Sequence[TargetCandidate]:
+        """Return the candidates that a request may be sent to, and record no probe."""
         reachable = [c for c in candidates if not c.is_possibly_unreachable]
         if reachable:
             return reachable
@@ -42,7 +51,6 @@
                 continue
             last_s = self.probed_s.get(candidate.target_id)
             if last_s is None or now_s - last_s >= PROBE_INTERVAL_S:
-                self.probed_s[candidate.target_id] = now_s
                 return [candidate]
         return []
 
--- a/src/laburnumpitch/policy/target_selection.py
+++ b/src/laburnumpitch/policy/target_selection.py
@@ -156,10 +156,7 @@
     if not candidates:
         return None
     pairs = prefer_reachable(list(zip(candidates, tie_breaks, strict=True)))
-    affinity_target_id = ""
-    if affinity_key:
-        target_ids = [c.target_id for c, _ in pairs if not c.is_in_backoff]
-        affinity_target_id = choose_by_rendezvous_hash(affinity_key, target_ids)
+    affinity_target_id = find_affinity_target([c for c, _ in pairs], affinity_key)
 
     def get_cost(pair: tuple[TargetCandidate, float]) -> tuple[float, float]:
         candidate, tie_break = pair
@@ -173,6 +170,14 @@
     return min(pairs, key=get_cost)[0]
 
 
+def find_affinity_target(candidates: Sequence[TargetCandidate], key: str) -> str:
+    """Return the target that a context's key prefers; empty without a key."""
+    if not key:
+        return ""
+    target_ids = [c.target_id for c in candidates if not c.is_in_backoff]
+    return choose_by_rendezvous_hash(key, target_ids)
+
+
 def prefer_reachable(
     pairs: list[tuple[TargetCandidate, float]],
 ) -> list[tuple[TargetCandidate, float]]:
--- a/src/laburnumpitch/relay/coordinator.py
+++ b/src/laburnumpitch/relay/coordinator.py
@@ -125,16 +125,9 @@
             self.log.info("places_expired", service=call.service, count=expired)
         for target_id in call.suspects:
             self.backoff_until_s[target_id] = now_s + SHARED_BACKOFF_S
-        excluded_ids = {*call.excluded, *call.suspects}
-        targets = [
-            target
-            for target in self.catalog.get_staying_targets(
-                call.service, call.build, call.allowed_regions
-            )
-            if target.target_id not in excluded_ids
-            and self.catalog.is_eligible(target, call)
-        ]
-        candidates = self.make_candidates(ledger, targets, call)
+        targets = self.list_targets(call)
+        open_candidates, are_others_full = self.make_candidates(ledger, targets, call)
+        candidates = self.probe_schedule.select(open_candidates, are_others_full, now_s)
         tie_breaks = [self.random.random() for _ in candidates]
         # The node count is 1: only the coordinator assigns these targets.
         chosen = choose_target(
@@ -162,10 +155,26 @@
             targets=len(self.catalog.get_targets(service)),
         )
 
+    def list_targets(self, call: PlaceCall) -> list[TargetRecord]:
+        """Return the targets that can serve a request, regardless of their load."""
+        excluded_ids = {*call.excluded, *call.suspects}
+        return [
+            target
+            for target in self.catalog.get_staying_targets(
+                call.service, call.build, call.allowed_regions
+            )
+            if target.target_id not in excluded_ids
+            and self.catalog.is_eligible(target, call)
+        ]
+
     def make_candidates(
         self, ledger: PlacementLedger, targets: list[TargetRecord], call: PlaceCall
-    ) -> Sequence[TargetCandidate]:
-        """Return the targets that have capacity, as candidates for the policy."""
+    ) -> tuple[Sequence[TargetCandidate], bool]:
+        """Return the targets that have capacity, as candidates for the policy.
+
+        Returns:
+            The candidates, and whether reachable targets without capacity exist.
+        """
         now_s = self.get_time_s()
         store = self.catalog.find_session_store(call)
         candidates = []
@@ -181,24 +190,31 @@
                 candidates.append(candidate)
             else:
                 are_others_full |= not candidate.is_possibly_unreachable
-        return self.probe_schedule.select(candidates, are_others_full, now_s)
+        return candidates, are_others_full
 
     def has_capacity(
         self, ledger: PlacementLedger, target: TargetRecord, call: PlaceCall
     ) -> bool:
         """Whether a target has capacity to start a request soon enough."""
+        return not self.find_shortage(ledger, target, call)
+
+    def find_shortage(
+        self, ledger: PlacementLedger, target: TargetRecord, call: PlaceCall
+    ) -> str:
+        """Return what a target lacks to start a request soon enough, or empty."""
         load = ledger.get_usage(target.target_id)
         if not load.running:
-            return True
+            return ""
         if load.running >= target.slots * SLOT_OVERCOMMIT:
-            return False
+            return "full: slots"
         engine = self.catalog.get_engine_spec(target.service)
         if engine is None:
-            return True
+            return ""
         max_tokens = engine.context_tokens * TOKEN_OVERCOMMIT
         if load.tokens + call.prompt_tokens > max_tokens:
-            return False
-        return ledger.get_backlog_s(target.target_id) <= call.max_backlog_s
+            return "full: tokens"
+        is_late = ledger.get_backlog_s(target.target_id) > call.max_backlog_s
+        return "full: prefill backlog" if is_late else ""
 
     def choose_retry_delay_s(
         self, ledger: PlacementLedger, targets: list[TargetRecord], call: PlaceCall
--- a/src/laburnumpitch/relay/dispatcher.py
+++ b/src/laburnumpitch/relay/dispatcher.py
@@ -13,7 +13,8 @@
 from ..fleet.messages import FleetLoad, PlaceAnswer, PlaceCall, TargetRecord
 from ..policy.capacity import TargetCapacity, has_capacity
 from ..policy.send_window import SendWindow
-from ..policy.target_selection import choose_target, estimate_other_nodes_load
+from ..policy.target_selection import choose_target
+from .local_candidates import make_local_candidates
 from .place_calls import make_place_call
 from .placement_client import Placement
 from .request import AdmittedRequest
@@ -158,11 +159,7 @@
             InternalError: If dispatching it failed for an unexpected reason.
             OverloadedError: If no target had capacity in time.
         """
-        now_s = self.get_time_s()
-        objective_s = admitted.route.objective_s
-        wait_s = min(
-            (deadline_s - now_s) * MAX_WAIT_SHARE, objective_s * MAX_WAIT_OBJECTIVES
-        )
+        wait_s = self.get_queue_wait_s(admitted, deadline_s)
         future = asyncio.get_running_loop().create_future()
         priority = make_priority(admitted)
         regions = self.catalog.region_rules.get_allowed_regions(admitted)
@@ -182,6 +179,12 @@
             raise OverloadedError(f"{admitted.service} has no target with capacity")
         return future.result()
 
+    def get_queue_wait_s(self, admitted: AdmittedRequest, deadline_s: float) -> float:
+        """Return the longest time that a request waits in the queue."""
+        remaining_s = deadline_s - self.get_time_s()
+        objective_s = admitted.route.objective_s
+        return min(remaining_s * MAX_WAIT_SHARE, objective_s * MAX_WAIT_OBJECTIVES)
+
     def wake_queues(self) -> None:
         """Dispatch queued requests now, where targets have capacity."""
         self.wakeup.set()
@@ -276,33 +279,8 @@
         """Choose a target by this node's own data, and count the request there."""
         if not self.fits_send_window(admitted):
             return None
-        targets = [
-            target
-            for target in self.catalog.get_targets(
-                admitted.service, call.build, call.allowed_regions
-            )
-            if target.target_id not in call.excluded
-            and self.catalog.is_eligible(target, call)
-            and self.has_capacity(target, call)
-        ]
-        mean_running = self.get_mean_other_load(targets)
-        store = self.catalog.find_session_store(call)
-        candidates = []
-        for target in targets:
-            stats = self.statistics.get(target.target_id)
-            other_load = self.fleet_view.other_loads.get(target.target_id, NO_LOAD)
-            other_running = estimate_other_nodes_load(
-                other_load.running, mean_running, stats.service_s
-            )
-            candidates.append(
-                self.catalog.make_candidate(
-                    target,
-                    call,
-                    store,
-                    stats.running + other_running,
-                    stats.pending_prefill_tokens,
-                )
-            )
+        targets = self.list_local_targets(call)
+        candidates = make_local_candidates(self.catalog, targets, call)
         tie_breaks = [self.random.random() for _ in candidates]
         chosen = choose_target(
             candidates, call.key, tie_breaks, self.fleet_view.node_count
@@ -317,6 +295,18 @@
             )
         return target
 
+    def list_local_targets(self, call: PlaceCall) -> list[TargetRecord]:
+        """Return the targets to which this node may send a request by its own data."""
+        return [
+            target
+            for target in self.catalog.get_targets(
+                call.service, call.build, call.allowed_regions
+            )
+            if target.target_id not in call.excluded
+            and self.catalog.is_eligible(target, call)
+            and self.has_capacity(target, call)
+        ]
+
     def has_capacity(self, target: TargetRecord, call: PlaceCall) -> bool:
         """Whether this node may send one more request to a target."""
         stats = self.statistics.get(target.target_id)
@@ -329,14 +319,6 @@
         nodes = self.fleet_view.node_count
         return has_capacity(own_load, other_load, call.prompt_tokens, capacity, nodes)
 
-    def get_mean_other_load(self, targets: list[TargetRecord]) -> float:
-        """Return the mean number of other nodes' requests at the given targets."""
-        if not targets:
-            return 0.0
-        loads = self.fleet_view.other_loads
-        running = sum(loads.get(t.target_id, NO_LOAD).running for t in targets)
-        return running / len(targets)
-
     def get_send_window(self, service: str) -> SendWindow:
         """Return the window that bounds the prompts in prefill at a service."""
         window = self.send_windows.get(service)
--- a/src/laburnumpitch/relay/relay_api.py
+++ b/src/laburnumpitch/relay/relay_api.py
@@ -19,7 +19,7 @@
 from ..transport.http_server import HttpRequest, Responder
 from .configuration import Route, RoutingConfiguration
 from .relay_run import RelayRun
-from .request import AdmittedRequest
+from .request import AdmittedRequest, RequestMetadata
 from .services import RelayServices
 
 READY_RETRY_AFTER_S = (0.25, 0.7)
@@ -37,6 +37,22 @@
 """Number of delivered requests for each one that is logged."""
 
 
+def get_retry_after_bounds_s(error: LaburnumpitchError) -> tuple[float, float]:
+    """Return the bounds of the delay after which a refused client should retry.
+
+    Other nodes can take a request that a stopping one refuses, at once.
+    """
+    if isinstance(error, DrainingError):
+        return 0.0, 0.0
+    is_ready = isinstance(error, (NoTargetError, OverloadedError))
+    return READY_RETRY_AFTER_S if is_ready else UNREADY_RETRY_AFTER_S
+
+
+def cap_retry_after_s(retry_after_s: float, remaining_s: float) -> float:
+    """Limit a delay to a third of the time that the client still waits."""
+    return max(0.0, min(retry_after_s, remaining_s / 3))
+
+
 class RelayApi:
     """The HTTP interface to clients.
 
@@ -81,15 +97,40 @@
                 await self.refuse(request_id, responder, run, failure)
 
     def admit(self, request: HttpRequest) -> AdmittedRequest:
-        """Check a request against the configuration in force.
+        """Check a request against the configuration in force, and count it.
 
         Raises:
             LaburnumpitchError: If it is not allowed.
         """
+        configuration = self.get_configuration()
+        metadata = self.services.translator.read_request(request)
+        admitted = self.check(configuration, request, metadata)
+        self.services.retry_limiter.record_request(admitted.service)
+        self.services.metrics.count("request.accepted")
+        return admitted
+
+    def get_configuration(self) -> RoutingConfiguration:
+        """Return the configuration in force.
+
+        Raises:
+            NoLeaseError: If there is none yet.
+        """
         configuration = self.services.fleet_view.configuration
         if configuration is None:
             raise NoLeaseError("no configuration yet")
-        metadata = self.services.translator.read_request(request)
+        return configuration
+
+    def check(
+        self,
+        configuration: RoutingConfiguration,
+        request: HttpRequest,
+        metadata: RequestMetadata,
+    ) -> AdmittedRequest:
+        """Return a request with its route, service and organisation.
+
+        Raises:
+            LaburnumpitchError: If it is not allowed.
+        """
         route = configuration.find_route(metadata.host, request.path)
         if route is None:
             raise NotFoundError("no route for the host and path")
@@ -105,8 +146,6 @@
         if self.services.get_time_s() + admitted.timeout_s > self.closes_at_s:
             raise DrainingError("the node may stop before the request has ended")
         self.services.crash_reports.check(admitted)
-        self.services.retry_limiter.record_request(service)
-        self.services.metrics.count("request.accepted")
         return admitted
 
     def choose_service(self, configuration: RoutingConfiguration, route: Route) -> str:
@@ -157,14 +196,10 @@
         It is at most a third of the time that the client still waits. Other nodes can
         take a request that a stopping one refuses, at once.
         """
-        if isinstance(error, DrainingError):
-            return 0.0
-        is_ready = isinstance(error, (NoTargetError, OverloadedError))
-        bounds = READY_RETRY_AFTER_S if is_ready else UNREADY_RETRY_AFTER_S
-        retry_after_s = self.random.uniform(*bounds)
+        retry_after_s = self.random.uniform(*get_retry_after_bounds_s(error))
         if run is None:
             return retry_after_s
-        return max(0.0, min(retry_after_s, run.remaining_s / 3))
+        return cap_retry_after_s(retry_after_s, run.remaining_s)
 
     def record_delivered(self, run: RelayRun) -> None:
         """Count a delivered answer; log some, and each that needed a retry."""
--- a/src/laburnumpitch/relay/target_catalog.py
+++ b/src/laburnumpitch/relay/target_catalog.py
@@ -18,6 +18,9 @@
 from .store_choice import find_store
 from .target_statistics import TargetStatistics, TargetStats
 
+TargetCheck = Callable[[list[TargetRecord]], list[TargetRecord]]
+"""Returns the targets of a service that may get new requests."""
+
 SHORT_GENERATION_S = 0.5
 """Longest expected generation time of a short request; for twice this time before it
 changes its weights, an engine gets short requests only."""
@@ -95,6 +98,54 @@
         key = (service, build, allowed_regions)
         return bool(self.get_staying_targets(*key)) and not self.get_targets(*key)
 
+    def list_exclusions(self, call: PlaceCall, *, by_node: bool) -> dict[str, str]:
+        """Return why targets of a service cannot get a request, by target.
+
+        Args:
+            call: The request.
+            by_node: Whether the targets that ask this node for no requests count.
+        """
+        remaining = []
+        reasons = {}
+        for target in self.fleet_view.targets.get_records():
+            if target.service != call.service:
+                continue
+            if target.is_leaving:
+                reasons[target.target_id] = "leaving"
+            else:
+                remaining.append(target)
+        for reason, select in self.get_checks(
+            call.build, call.allowed_regions, by_node
+        ):
+            kept_ids = {target.target_id for target in select(remaining)}
+            for target in remaining:
+                if target.target_id not in kept_ids:
+                    reasons[target.target_id] = reason
+            remaining = [t for t in remaining if t.target_id in kept_ids]
+        for target in remaining:
+            if reason := self.find_exclusion(target, call):
+                reasons[target.target_id] = reason
+        return reasons
+
+    def get_checks(
+        self, build: str, allowed_regions: AllowedRegions, by_node: bool
+    ) -> list[tuple[str, TargetCheck]]:
+        """Return the checks of a service's targets in sequence, each with its reason.
+
+        A check gets the targets that the ones before it have kept. Some keep a last
+        resort, if they would keep no target.
+        """
+        checks: list[tuple[str, TargetCheck]] = []
+        if build:
+            checks.append(("build", lambda ts: [t for t in ts if t.build == build]))
+        if allowed_regions is not None:
+            select_allowed = self.region_rules.select_allowed
+            checks.append(("region", lambda ts: select_allowed(ts, allowed_regions)))
+        checks.append(("leaving", self.leaving.select_usable))
+        if by_node:
+            checks.append(("shedding", self.shedding.select_usable))
+        return checks
+
     def record_start(self, target: TargetRecord, tokens: int) -> None:
         """Count a request that is sent to a target."""
         self.shedding.record_start(target)
@@ -114,10 +165,9 @@
             allowed_regions: Regions that the targets may be in.
         """
         targets = self.by_service.get(service, [])
-        if build:
-            targets = [target for target in targets if target.build == build]
-        targets = self.region_rules.select_allowed(targets, allowed_regions)
-        return self.leaving.select_usable(targets)
+        for _, select in self.get_checks(build, allowed_regions, by_node=False):
+            targets = select(targets)
+        return targets
 
     def list_avoided_ids(
         self, service: str, build: str, allowed_regions: AllowedRegions
@@ -181,20 +231,24 @@
 
     def is_eligible(self, target: TargetRecord, call: PlaceCall) -> bool:
         """Whether a target can serve a request, regardless of its load."""
+        return not self.find_exclusion(target, call)
+
+    def find_exclusion(self, target: TargetRecord, call: PlaceCall) -> str:
+        """Return why a target cannot serve a request at any load; empty if it can."""
         if not self.region_rules.allows(target.data_centre, call.allowed_regions):
-            return False
+            return "region"
         stats = self.statistics.get(target.target_id)
-        if stats.is_replaced or target.is_loading:
+        if stats.is_replaced:
+            return "replaced"
+        if target.is_loading:
             # An engine rejects every request while it loads weights.
-            return False
+            return "weights: loading"
         if self.has_expired_weights(target, stats, call.model):
-            return False
+            return "weights: outdated"
         if not self.has_allowed_build(target, call):
-            return False
-        return (
-            not target.is_retiring
-            or call.output_tokens * stats.token_s <= SHORT_GENERATION_S
-        )
+            return "build"
+        is_long = call.output_tokens * stats.token_s > SHORT_GENERATION_S
+        return "weights: loading next" if target.is_retiring and is_long else ""
 
     def has_allowed_build(self, target: TargetRecord, call: PlaceCall) -> bool:
         """Whether a target's build may begin a stream, or go on with one."""
