--- a/harness/reference.py
+++ b/harness/reference.py
@@ -10,6 +10,7 @@
 
 from laburnumpitch.control.document import SCHEMAS
 from laburnumpitch.errors import get_error_classes
+from laburnumpitch.explain_command import EXPLAIN_SETTINGS
 from laburnumpitch.metrics import METRICS
 from laburnumpitch.settings import INIT_SETTINGS, NODE_SETTINGS, OPERATOR_SETTINGS
 
@@ -38,6 +39,7 @@
         ("laburnumpitch node, laburnumpitch check", NODE_SETTINGS),
         ("laburnumpitch init", INIT_SETTINGS),
         ("commands of operators", OPERATOR_SETTINGS),
+        ("laburnumpitch explain", EXPLAIN_SETTINGS),
     ):
         rows = [
             (f"`--{s.flag}`", f"`{s.env_variable}`", f"`{s.default}`", s.help)
--- a/src/laburnumpitch/explain_command.py
+++ b/src/laburnumpitch/explain_command.py
@@ -182,7 +182,8 @@
         f"{format_regions(answer['organisation_regions'] or None)}"
     )
     yield (
-        f"limits: {answer['timeout_s']:.3f} s to answer, priority "
+        f"limits: {answer['timeout_s']:.3f} s to answer, body of "
+        f"{answer['limits']['body_bytes']} bytes, priority "
         f"{answer['priority_class']}, allowed regions "
         f"{format_regions(answer['allowed_regions'])}"
     )
--- a/src/laburnumpitch/policy/cost_parts.py
+++ b/src/laburnumpitch/policy/cost_parts.py
@@ -47,11 +47,12 @@
         prefill_tokens_per_s: Prefill rate of a target.
     """
     cost_s = estimate_cost_s(candidate, prefill_tokens_per_s)
-    parts = {
-        name: cost_s
-        - estimate_cost_s(replace(candidate, **state), prefill_tokens_per_s)
-        for name, state in NEUTRAL_STATES.items()
-    }
+    parts = {}
+    for name, state in NEUTRAL_STATES.items():
+        # Most candidates of a large service are idle and sound.
+        if any(getattr(candidate, field) for field in state):
+            neutral = replace(candidate, **state)
+            parts[name] = cost_s - estimate_cost_s(neutral, prefill_tokens_per_s)
     if candidate.target_id != affinity_target_id:
         parts[TRANSFER_PART] = candidate.transfer_s
     return {name: part_s for name, part_s in parts.items() if part_s}
--- a/src/laburnumpitch/policy/placement_ledger.py
+++ b/src/laburnumpitch/policy/placement_ledger.py
@@ -112,14 +112,16 @@
     def expire(self, now_s: float) -> int:
         """Release the expired placements, and return their count."""
         count = 0
-        while self.entries:
-            number, entry = next(iter(self.entries.items()))
-            if now_s - entry.assigned_s <= PLACEMENT_TTL_S:
-                break
-            self.release(number)
+        while self.has_expired(now_s):
+            self.release(next(iter(self.entries)))
             count += 1
         return count
 
+    def has_expired(self, now_s: float) -> bool:
+        """Whether the oldest placement has expired."""
+        oldest = next(iter(self.entries.values()), None)
+        return oldest is not None and now_s - oldest.assigned_s > PLACEMENT_TTL_S
+
     def get_backlog_s(self, target_id: str) -> float:
         """Return the time that a target needs for its pending prefills."""
         pending_tokens = self.get_usage(target_id).pending_prefill_tokens
--- a/src/laburnumpitch/relay/dispatcher.py
+++ b/src/laburnumpitch/relay/dispatcher.py
@@ -302,11 +302,17 @@
             for target in self.catalog.get_targets(
                 call.service, call.build, call.allowed_regions
             )
-            if target.target_id not in call.excluded
-            and self.catalog.is_eligible(target, call)
-            and self.has_capacity(target, call)
+            if not self.find_local_exclusion(target, call)
         ]
 
+    def find_local_exclusion(self, target: TargetRecord, call: PlaceCall) -> str:
+        """Return why this node may not send a request to a target; empty if it may."""
+        if target.target_id in call.excluded:
+            return "excluded"
+        if reason := self.catalog.find_exclusion(target, call):
+            return reason
+        return "" if self.has_capacity(target, call) else "full"
+
     def has_capacity(self, target: TargetRecord, call: PlaceCall) -> bool:
         """Whether this node may send one more request to a target."""
         stats = self.statistics.get(target.target_id)
--- a/src/laburnumpitch/relay/explanation.py
+++ b/src/laburnumpitch/relay/explanation.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
+from msgspec.structs import replace as replace_fields
+
 from ..errors import (
     LaburnumpitchError,
     NoTargetError,
@@ -19,9 +21,9 @@
 from ..policy.regions import AllowedRegions
 from ..transport.http_request import HttpRequest
 from ..transport.rpc import RpcPool
-from .configuration import Organisation, Route, Share, StoreSpec
+from .configuration import Limits, Organisation, Route, Share, StoreSpec
 from .placement_client import REQUEST_TIMEOUT_S, PlacementClient
-from .placement_explanation import PlacementExplanations
+from .placement_explanation import EXCLUDED_BY_CALLER, PlacementExplanations
 from .relay_api import RelayApi, cap_retry_after_s, get_retry_after_bounds_s
 from .request import AdmittedRequest, RequestMetadata
 
@@ -96,6 +98,8 @@
     organisation: str = ""
     """Empty without one."""
     organisation_regions: tuple[str, ...] = ()
+    limits: Limits | None = None
+    """Bounds of the configuration on the size of requests."""
     priority_class: int = 0
     timeout_s: float = 0.0
     allowed_regions: AllowedRegions = None
@@ -190,6 +194,7 @@
             explanation,
             organisation=organisation.name,
             organisation_regions=organisation.allowed_regions,
+            limits=configuration.limits,
             priority_class=admitted.priority_class,
             timeout_s=admitted.timeout_s,
             allowed_regions=rules.get_allowed_regions(admitted),
@@ -262,7 +267,7 @@
                 base = replace(base, coordinator_ms=round(duration_s * 1000, 1))
                 error = self.find_fault(choice, call, duration_s)
                 if not error:
-                    return replace(base, choice=choice)
+                    return replace(base, choice=self.name_own_exclusions(choice, call))
             except LaburnumpitchError as failure:
                 error = failure.code
         blocked_by = ""
@@ -271,6 +276,24 @@
         choice = self.explanations.explain_local_choice(call, blocked_by)
         return replace(base, coordinator_error=error, choice=choice)
 
+    def name_own_exclusions(
+        self, choice: PlaceExplanation, call: PlaceCall
+    ) -> PlaceExplanation:
+        """Return a coordinator's choice with this node's reasons of exclusion."""
+        reasons = self.catalog.list_exclusions(call, by_node=True)
+        targets = [
+            (
+                replace_fields(
+                    target,
+                    excluded_by=reasons.get(target.target_id, EXCLUDED_BY_CALLER),
+                )
+                if target.excluded_by == EXCLUDED_BY_CALLER
+                else target
+            )
+            for target in choice.targets
+        ]
+        return replace_fields(choice, targets=targets)
+
     async def ask_coordinator(self, host: str, call: PlaceCall) -> PlaceExplanation:
         """Return the choice of a coordinator.
 
--- a/src/laburnumpitch/relay/placement_explanation.py
+++ b/src/laburnumpitch/relay/placement_explanation.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import copy
 from collections.abc import Callable, Mapping, Sequence
 from random import Random
 
@@ -25,6 +26,9 @@
 from .local_candidates import make_local_candidates
 from .target_catalog import TargetCatalog
 
+EXCLUDED_BY_CALLER = "excluded by the calling node"
+"""Reason of a target that the call for a placement excludes."""
+
 UNREACHABLE = "unreachable"
 """Reason of a target that may not answer, while others may, or one was just probed."""
 
@@ -63,9 +67,14 @@
             if not coordinator.is_assigned(call.service):
                 raise NotCoordinatorError(call.service)
             ledger = PlacementLedger()
+        now_s = coordinator.get_time_s()
+        if ledger.has_expired(now_s):
+            # The next placement would release these first.
+            ledger = copy.deepcopy(ledger)
+            ledger.expire(now_s)
         reasons = coordinator.catalog.list_exclusions(call, by_node=False)
         for target_id in call.excluded:
-            reasons.setdefault(target_id, "shedding or leaving at the calling node")
+            reasons.setdefault(target_id, EXCLUDED_BY_CALLER)
         for target_id in call.suspects:
             reasons.setdefault(target_id, "backoff")
         targets = coordinator.list_targets(call)
@@ -74,7 +83,7 @@
                 reasons[target.target_id] = shortage
         candidates, are_others_full = coordinator.make_candidates(ledger, targets, call)
         candidates = coordinator.probe_schedule.find_open(
-            candidates, are_others_full, coordinator.get_time_s()
+            candidates, are_others_full, now_s
         )
         rate = ledger.prefill_rate.tokens_per_s
 
@@ -101,8 +110,8 @@
         for target in catalog.get_targets(
             call.service, call.build, call.allowed_regions
         ):
-            if not dispatcher.has_capacity(target, call):
-                reasons.setdefault(target.target_id, "full")
+            if reason := dispatcher.find_local_exclusion(target, call):
+                reasons.setdefault(target.target_id, reason)
         targets = dispatcher.list_local_targets(call)
         candidates = make_local_candidates(catalog, targets, call)
 
--- a/tests/relay/test_explanation.py
+++ b/tests/relay/test_explanation.py
@@ -14,6 +14,7 @@
 from laburnumpitch.errors import RpcTimeoutError
 from laburnumpitch.metrics import Metrics
 from laburnumpitch.platform.explain_api import answer_question
+from laburnumpitch.policy.placement_ledger import PLACEMENT_TTL_S
 from laburnumpitch.relay.coordinator import Coordinator, make_assignment_key
 from laburnumpitch.relay.explanation import Explainer
 from laburnumpitch.relay.placement_client import PlacementClient
@@ -105,11 +106,7 @@
             for name, expected, expected_own in (
                 ("region", "region", "region"),
                 ("leaving", "leaving", "leaving"),
-                (
-                    "shedding",
-                    "shedding or leaving at the calling node",
-                    "shedding",
-                ),
+                ("shedding", "shedding", "shedding"),
                 ("loading", "weights: loading", "weights: loading"),
                 ("build", "build", "build"),
                 ("backoff", "backoff", "unreachable"),
@@ -174,6 +171,46 @@
         self.catalog.update()
 
 
+class CoordinatorStateTest(ExplanationCase):
+    """What a coordinator records when it assigns a placement."""
+
+    is_coordinator = True
+
+    def test_probe(self) -> None:
+        """Guards against an explanation that uses up the probe of a silent target."""
+
+        async def scenario() -> None:
+            table = self.fleet_view.targets
+            first = table.entries["t0"].record
+            table.put(replace_record(first, sequence=3, is_silent=True), 0.0)
+            self.catalog.update()
+            ledger = self.coordinator.get_ledger(SERVICE)
+            for _ in range(5):
+                ledger.assign("t1", 1, time.monotonic())
+            for _ in range(2):
+                (service,) = (await self.explain("read"))["services"]
+                self.assertEqual("t0", service["outcome"]["target_id"])
+            await self.send_request("read")
+            self.assertEqual([1, 0], self.count_requests())
+
+        self.run_relay([[WHOLE], []], scenario)
+
+    def test_expired_placements(self) -> None:
+        """Placements that the next call would release do not fill a target."""
+
+        async def scenario() -> None:
+            ledger = self.coordinator.get_ledger(SERVICE)
+            for _ in range(5):
+                ledger.assign("t0", 1, time.monotonic() - 2 * PLACEMENT_TTL_S)
+            (service,) = (await self.explain("read"))["services"]
+            self.assertEqual("t0", service["outcome"]["target_id"])
+            self.assertEqual(5, len(ledger.entries))
+            await self.send_request("read")
+            self.assertEqual([1, 0], self.count_requests())
+
+        self.run_relay([[WHOLE], []], scenario)
+
+
 class RefusedTest(ExplanationCase):
     """Requests that no target can take, or that are refused before."""
 
