--- a/tests/fleet/test_regions.py
+++ b/tests/fleet/test_regions.py
@@ -5,10 +5,12 @@
 import asyncio
 import dataclasses
 
+from laburnumpitch.fleet_node import FleetNode
 from laburnumpitch.platform.settings_file import FleetSettings
 from laburnumpitch.transport.http_client import HttpClient
 from standins.platform_target import Journal, PlatformTarget
 
+from ..platform.test_settings_file import SOUND
 from .fleet_case import WAIT_S, Fleet, FleetCase, make_configuration, wait_until
 
 REGIONS = {"west-1": "west", "west-2": "west", "east-1": "east"}
@@ -67,11 +69,23 @@
             self.assertEqual({503}, await self.send_all("bound"))
             self.assertEqual([], self.journal.arrivals)
             self.assertEqual({200}, await self.send_all("free"))
+            self.check_changed_settings(fleet.nodes[fleet.hosts[0]])
         finally:
             for target in self.targets[:2]:
                 await target.crash()
             await fleet.close()
 
+    def check_changed_settings(self, node: FleetNode) -> None:
+        """A data centre that is added to the settings file has its region at once."""
+        path = self.fleet.folder / "settings.toml"
+        path.write_text(
+            SOUND.replace('zone = "z"', 'zone = "z"\nzones = {new = "east"}')
+        )
+        node.settings_path = str(path)
+        FleetNode.reload_seed_hosts(node)
+        self.assertTrue(node.relay.region_rules.allows("new", ("east",)))
+        self.assertFalse(node.relay.region_rules.allows("east-1", ("east",)))
+
     async def add_target(self, data_centre: str) -> None:
         """Start a target in a data centre."""
         fleet, number = self.fleet, len(self.targets)
--- a/tests/fuzz/test_decoders.py
+++ b/tests/fuzz/test_decoders.py
@@ -15,6 +15,7 @@
 from laburnumpitch.clock import HybridLogicalClock
 from laburnumpitch.control.log_store import decode_record, encode_record
 from laburnumpitch.errors import LaburnumpitchError
+from laburnumpitch.fleet.explain_messages import ExplainPlace
 from laburnumpitch.fleet.messages import (
     GrantContext,
     PlaceCall,
@@ -24,6 +25,7 @@
 from laburnumpitch.platform.announcements import decode_announcement
 from laburnumpitch.platform.configuration import decode_configuration
 from laburnumpitch.platform.control_api import decode_version_put
+from laburnumpitch.platform.explain_api import decode_question
 from laburnumpitch.platform.http_headers import HeaderTranslator
 from laburnumpitch.platform.settings_file import read_settings
 from laburnumpitch.platform.target_client import (
@@ -33,6 +35,7 @@
     decode_answer,
 )
 from laburnumpitch.relay.event_stream import EventSplitter
+from laburnumpitch.relay.explanation import ExplainedRequest
 from laburnumpitch.transport.codec import SCHEMA_VERSION, decode, encode
 from laburnumpitch.transport.http_server import HttpRequest
 
@@ -72,8 +75,11 @@
     b'"version":"v1"}',
     "configuration": b'{"version":7,"routes":[{"name":"r","host":"h","path_prefix":'
     b'"/a/","route_type":"idempotent","timeout_ms":4000,"service":"s"}],"services":'
-    b'[{"name":"s"}],"limits":{},"tenants":[{"name":"t","api_keys":["k"]}]}',
+    b'[{"name":"s"}],"limits":{},"tenants":[{"name":"t","api_keys":["k"],'
+    b'"allowed_regions":["a"]}]}',
     "version_put": b'{"model":"m","version":2}',
+    "question": b'{"host":"h","path":"/a/","api_key":"k","pieces":"p:800,own:5",'
+    b'"prompt_tokens":805,"output_tokens":5,"deadline_ms":900}',
     "report": b'{"sequence":2,"busy":false,"models":[{"name":"m","version":1}]}',
     "events": b'{"epoch":1,"next_token":2,"has_gap":false,'
     b'"events":[[1,"+","s","p",800,"m"]],"clock_ms":5}',
@@ -110,10 +116,20 @@
     float(events.clock_ms or 0) + sum(event[4] for event in events.events) * 1.5
 
 
+def ask_coordinator(asked: ExplainedRequest) -> None:
+    """Send on what a coordinator is asked about an explained request."""
+    metadata = asked.metadata
+    tokens = (metadata.prompt_tokens, metadata.shared_tokens, metadata.output_tokens)
+    key = metadata.affinity_key
+    call = PlaceCall("s", key, metadata.model, *tokens, 1.0, 1.0, "dc", [], [])
+    encode(ExplainPlace(call))
+
+
 USES: dict[str, Callable[[Any], object]] = {
     "announcement": encode,
     "configuration": lambda item: encode(StoreConfiguration(item.version, b"")),
     "version_put": encode,
+    "question": ask_coordinator,
     "report": send_report_on,
     "events": use_events,
 }
@@ -123,6 +139,7 @@
     "announcement": lambda data: decode_announcement("t1", data),
     "configuration": decode_configuration,
     "version_put": decode_version_put,
+    "question": decode_question,
     "report": lambda data: decode_answer(data, WireReport),
     "events": lambda data: decode_answer(data, WireEvents),
     "listing": lambda data: decode_answer(data, WireListing),
