--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -204,7 +204,9 @@
         """Make the HTTP servers for clients, the platform, operators and metrics."""
         settings = self.settings
         control_api = ControlApi(
-            self.leader_client, lambda: self.fleet_view.has_leader_contact
+            self.leader_client,
+            lambda: self.fleet_view.has_leader_contact,
+            self.relay.explainer.explain,
         )
         ready_api = ReadinessApi(self.is_ready)
         self.client_server = HttpServer(
--- a/src/laburnumpitch/fleet_relay.py
+++ b/src/laburnumpitch/fleet_relay.py
@@ -7,6 +7,7 @@
 
 from .clock_sources import get_boottime_s
 from .fleet.engine_client import EngineClient
+from .fleet.explain_messages import ExplainPlace
 from .fleet.fleet_view import FleetView
 from .fleet.leader_client import LeaderClient
 from .fleet.messages import (
@@ -26,8 +27,10 @@
 from .relay.coordinator import Coordinator
 from .relay.dispatcher import Dispatcher
 from .relay.evacuation_watch import EvacuationWatch
+from .relay.explanation import Explainer
 from .relay.incarnation_check import IncarnationCheck
 from .relay.placement_client import PlacementClient
+from .relay.placement_explanation import PlacementExplanations
 from .relay.region_rules import RegionRules
 from .relay.relay_api import RelayApi
 from .relay.retry_limiter import RetryLimiter
@@ -111,12 +114,17 @@
             get_time_s,
         )
         self.api = RelayApi(self.services, random_source)
+        self.explanations = PlacementExplanations(self.coordinator, self.dispatcher)
+        self.explainer = Explainer(
+            self.api, self.placement_client, self.explanations, pool, port, metrics
+        )
 
     def register(self, server: RpcServer) -> None:
         """Register the handlers of other nodes' messages at a server."""
         server.on_direct(GrantContext, self.store_owners.on_grant)
         server.on_direct(CancelSaves, self.store_owners.on_cancel_saves)
         server.on_direct(PlaceCall, self.coordinator.on_place_call)
+        server.on(ExplainPlace, self.explanations.on_explain_place)
         server.on_direct(PlaceProgress, self.coordinator.on_place_progress)
         server.on_direct(StreamBegun, self.stream_origins.on_stream_begun)
         server.on_direct(FindStream, self.stream_origins.on_find_stream)
--- a/src/laburnumpitch/metrics.py
+++ b/src/laburnumpitch/metrics.py
@@ -68,6 +68,9 @@
     ),
     Metric("evacuation.active", "gauge", "data centres", "Evacuated data centres."),
     Metric("evacuation.refused", "counter", "requests", "Refused as evacuated."),
+    Metric(
+        "explain.calls", "counter", "calls", "Requests that operators had explained."
+    ),
     Metric("task.failed", "counter", "errors", "Unexpected errors of tasks."),
     Metric("quarantine.fingerprints", "gauge", "fingerprints", "Quarantined requests."),
 )
--- a/src/laburnumpitch/relay/dispatcher.py
+++ b/src/laburnumpitch/relay/dispatcher.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol
 
 from .._tasks import TASK_FAILURES
@@ -13,13 +14,15 @@
 from ..fleet.messages import FleetLoad, PlaceAnswer, PlaceCall, TargetRecord
 from ..policy.capacity import TargetCapacity, has_capacity
 from ..policy.send_window import SendWindow
-from ..policy.target_selection import choose_target, estimate_other_nodes_load
+from ..policy.target_selection import choose_target
+from .local_candidates import make_local_candidates
 from .place_calls import make_place_call
 from .placement_client import Placement
 from .request import AdmittedRequest
 from .request_queue import QueuedRequest, QueueKey, RequestQueue, make_priority
 from .restricted_queues import apply_restrictions
 from .target_catalog import TargetCatalog
+from .target_refusals import find_refusal, make_refusal
 
 MAX_WAIT_OBJECTIVES = 1.0
 """Longest wait in the queue, in latency objectives; an answer is late after that in any
@@ -99,7 +102,7 @@
         self.catalog.update()
         for key in apply_restrictions(self.queue, self.catalog):
             self.start_dispatching(key)
-        self.queue.refuse(self.catalog.find_refusal)
+        self.queue.refuse(partial(find_refusal, self.catalog))
         self.wake_queues()
 
     def count_queued(self) -> int:
@@ -131,7 +134,7 @@
             admitted.service, build, excluded, regions
         ):
             self.catalog.region_rules.record_no_target(admitted, regions)
-            raise self.catalog.make_refusal(key, excluded)
+            raise make_refusal(self.catalog, key, excluded)
         if not self.has_queue_ahead(admitted, build):
             target = await self.try_acquire(admitted, excluded, build)
             if target is not None:
@@ -161,11 +164,7 @@
             InternalError: If dispatching it failed for an unexpected reason.
             OverloadedError: If no target had capacity in time.
         """
-        now_s = self.get_time_s()
-        objective_s = admitted.route.objective_s
-        wait_s = min(
-            (deadline_s - now_s) * MAX_WAIT_SHARE, objective_s * MAX_WAIT_OBJECTIVES
-        )
+        wait_s = self.get_queue_wait_s(admitted, deadline_s)
         future = asyncio.get_running_loop().create_future()
         priority = make_priority(admitted)
         regions = self.catalog.region_rules.get_allowed_regions(admitted)
@@ -185,6 +184,12 @@
             raise OverloadedError(f"{admitted.service} has no target with capacity")
         return future.result()
 
+    def get_queue_wait_s(self, admitted: AdmittedRequest, deadline_s: float) -> float:
+        """Return the longest time that a request waits in the queue."""
+        remaining_s = deadline_s - self.get_time_s()
+        objective_s = admitted.route.objective_s
+        return min(remaining_s * MAX_WAIT_SHARE, objective_s * MAX_WAIT_OBJECTIVES)
+
     def wake_queues(self) -> None:
         """Dispatch queued requests now, where targets have capacity."""
         self.wakeup.set()
@@ -216,7 +221,7 @@
 
         Later requests do not overtake it, or large prompts would never be dispatched.
         """
-        refusal = self.catalog.find_refusal(queued.key, queued.excluded)
+        refusal = find_refusal(self.catalog, queued.key, queued.excluded)
         if refusal is not None:
             self.queue.discard(queued)
             queued.fail(refusal)
@@ -280,33 +285,8 @@
         """Choose a target by this node's own data, and count the request there."""
         if not self.fits_send_window(admitted):
             return None
-        targets = [
-            target
-            for target in self.catalog.get_targets(
-                admitted.service, call.build, call.allowed_regions
-            )
-            if target.target_id not in call.excluded
-            and self.catalog.is_eligible(target, call)
-            and self.has_capacity(target, call)
-        ]
-        mean_running = self.get_mean_other_load(targets)
-        store = self.catalog.find_session_store(call)
-        candidates = []
-        for target in targets:
-            stats = self.statistics.get(target.target_id)
-            other_load = self.fleet_view.other_loads.get(target.target_id, NO_LOAD)
-            other_running = estimate_other_nodes_load(
-                other_load.running, mean_running, stats.service_s
-            )
-            candidates.append(
-                self.catalog.make_candidate(
-                    target,
-                    call,
-                    store,
-                    stats.running + other_running,
-                    stats.pending_prefill_tokens,
-                )
-            )
+        targets = self.list_local_targets(call)
+        candidates = make_local_candidates(self.catalog, targets, call)
         tie_breaks = [self.random.random() for _ in candidates]
         chosen = choose_target(
             candidates, call.key, tie_breaks, self.fleet_view.node_count
@@ -321,6 +301,24 @@
             )
         return target
 
+    def list_local_targets(self, call: PlaceCall) -> list[TargetRecord]:
+        """Return the targets to which this node may send a request by its own data."""
+        return [
+            target
+            for target in self.catalog.get_targets(
+                call.service, call.build, call.allowed_regions
+            )
+            if not self.find_local_exclusion(target, call)
+        ]
+
+    def find_local_exclusion(self, target: TargetRecord, call: PlaceCall) -> str:
+        """Return why this node may not send a request to a target; empty if it may."""
+        if target.target_id in call.excluded:
+            return "excluded"
+        if reason := self.catalog.find_exclusion(target, call):
+            return reason
+        return "" if self.has_capacity(target, call) else "full"
+
     def has_capacity(self, target: TargetRecord, call: PlaceCall) -> bool:
         """Whether this node may send one more request to a target."""
         stats = self.statistics.get(target.target_id)
@@ -333,14 +331,6 @@
         nodes = self.fleet_view.node_count
         return has_capacity(own_load, other_load, call.prompt_tokens, capacity, nodes)
 
-    def get_mean_other_load(self, targets: list[TargetRecord]) -> float:
-        """Return the mean number of other nodes' requests at the given targets."""
-        if not targets:
-            return 0.0
-        loads = self.fleet_view.other_loads
-        running = sum(loads.get(t.target_id, NO_LOAD).running for t in targets)
-        return running / len(targets)
-
     def get_send_window(self, service: str) -> SendWindow:
         """Return the window that bounds the prompts in prefill at a service."""
         window = self.send_windows.get(service)
