Policy: who may send how many requests to a cold engine

Cause: an engine that has just started crashes at a rate far below that of a warm one, and is the least loaded target of all.

--- a/src/laburnumpitch/platform/settings_file.py
+++ b/src/laburnumpitch/platform/settings_file.py
@@ -11,6 +11,7 @@
 
 from ..errors import SettingsError
 from ..logging import get_logger
+from ..policy.cold_admission import ColdBounds
 from ..policy.leaving_targets import DRAIN_S
 from .wire_values import (
     MAX_DURATION_MS,
@@ -26,11 +27,19 @@
 MAX_RETRIES = 1e9
 """Largest number of retries, for each request or in a window."""
 
+MAX_REQUESTS = 1e9
+"""Largest number of requests in a second."""
+
+MAX_RATIO = 1e6
+"""Largest ratio of two rates."""
+
 RpcPort = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT - 1)]
 """A port; the one after it has to be a port, too."""
 
 DurationS = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_DURATION_MS / MS_PER_S)]
 Retries = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_RETRIES)]
+Requests = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_REQUESTS)]
+Ratio = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_RATIO)]
 
 
 class WireListen(msgspec.Struct):
@@ -52,6 +61,8 @@
     version_ms: DurationMs = 12000
     catch_up_s: DurationS = 4
     drain_ms: DurationMs = 2000
+    cold_overrun: Ratio = ColdBounds.overrun
+    cold_slack: Requests = ColdBounds.slack
 
 
 class WireFaultTolerance(msgspec.Struct):
@@ -117,6 +128,10 @@
     """Time after which a VM that has started replaces a lost one."""
     drain_s: float = DRAIN_S
     """Time for which a target that is leaving still serves."""
+    cold_overrun: float = ColdBounds.overrun
+    """Requests that a cold target may get in a second, relative to its rate."""
+    cold_slack: float = ColdBounds.slack
+    """Further requests that a cold target may get in a second."""
 
 
 def get_host(address: str) -> str:
@@ -186,4 +201,6 @@
         tolerated_losses=wire.fault_tolerance.machines,
         catch_up_s=float(bounds.catch_up_s),
         drain_s=bounds.drain_ms / MS_PER_S,
+        cold_overrun=bounds.cold_overrun,
+        cold_slack=bounds.cold_slack,
     )
