Wire: cold_start_s, cold_per_s, Cold-Ms, and whether cold_remaining_ms is stated

Cause: nodes need the rate that a cold target tolerates and the time for which it is cold. An announcement without cold_remaining_ms was read as one that states 0. Change: both fields of services, the header in answers and reports, states_cold and returns in target records, cold in placement calls.

--- a/src/laburnumpitch/fleet/messages.py
+++ b/src/laburnumpitch/fleet/messages.py
@@ -68,6 +68,10 @@
     """Version of the target's software."""
     has_said_leaving: bool = False
     """Whether the target said in an answer that it is leaving."""
+    states_cold: bool = False
+    """Whether the announcement stated `cold_s`; older software does not tell."""
+    returns: int = 0
+    """How often the target has announced itself again after silence, in this term."""
 
 
 class Announce(Message):
@@ -307,6 +311,8 @@
     """Whether the answer is a stream that may go on at another target."""
     build: str = ""
     """Build that the target must have, since it began the stream; empty for any."""
+    cold: dict[str, float] = field(default_factory=dict)
+    """Seconds for which targets are cold of which the coordinator may not know it."""
 
 
 class PlaceAnswer(Message):
@@ -318,6 +324,8 @@
     """Identifies the placement when it is released."""
     wait_s: float
     """Time after which to call again if there is no placement."""
+    is_cold_grant: bool = False
+    """Whether the target is cold; the request has to be sent soon then."""
 
 
 class PlaceProgress(Message):
--- a/src/laburnumpitch/platform/announcements.py
+++ b/src/laburnumpitch/platform/announcements.py
@@ -41,6 +41,9 @@
 would hide every later target at the same address or of the same name."""
 
 
+ColdTimeMs = Annotated[float, msgspec.Meta(ge=-MAX_DURATION_MS, le=MAX_DURATION_MS)]
+
+
 class WireModel(msgspec.Struct):
     """A model and its weight version that an engine has loaded."""
 
@@ -61,9 +64,7 @@
     """Start of the target, in Unix milliseconds."""
     version: BoundedText
     """Version of the target's software, not of its weights."""
-    cold_remaining_ms: Annotated[
-        float, msgspec.Meta(ge=-MAX_DURATION_MS, le=MAX_DURATION_MS)
-    ] = 0
+    cold_remaining_ms: ColdTimeMs | msgspec.UnsetType = msgspec.UNSET
     """May be a little below 0 at the end of the time."""
     models: Annotated[list[WireModel], msgspec.Meta(max_length=MAX_MODELS)] = []
 
@@ -119,6 +120,8 @@
         raise MalformedRequestError(f"{target_id}: invalid state or address")
     if announcement.born > get_wall_time_s() * MS_PER_S + MAX_BORN_AHEAD_MS:
         raise MalformedRequestError(f"{target_id}: start in the future")
+    cold_ms = announcement.cold_remaining_ms
+    states_cold = cold_ms is not msgspec.UNSET
     return TargetRecord(
         target_id=target_id,
         service=announcement.service,
@@ -128,7 +131,8 @@
         sequence=announcement.sequence,
         slots=max(1, announcement.slots),
         is_leaving=announcement.state == DRAINING_STATE,
-        cold_s=max(0.0, announcement.cold_remaining_ms / MS_PER_S),
+        cold_s=max(0.0, cold_ms / MS_PER_S) if states_cold else 0.0,
+        states_cold=states_cold,
         versions={model.name: model.version for model in announcement.models},
         build=announcement.version,
     )
--- a/src/laburnumpitch/platform/configuration.py
+++ b/src/laburnumpitch/platform/configuration.py
@@ -21,6 +21,7 @@
     StoreSpec,
 )
 from .wire_values import (
+    MAX_DURATION_MS,
     MAX_INTEGER,
     Count,
     DurationMs,
@@ -48,6 +49,13 @@
 RateMbps = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_RATE_MBPS)]
 """A bandwidth; 0 if it is not known."""
 
+MAX_REQUESTS_PER_S = 1e9
+"""Highest rate of requests."""
+
+DurationS = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_DURATION_MS / MS_PER_S)]
+RequestRate = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_REQUESTS_PER_S)]
+"""Requests a second."""
+
 Weight = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_WEIGHT)]
 PositiveCount = Annotated[int, msgspec.Meta(ge=1, le=MAX_INTEGER)]
 
@@ -111,6 +119,10 @@
     first_ms: DurationMs = 0.0
     """Time before the first byte of each transfer."""
     managed: bool = False
+    cold_start_s: DurationS = 0.0
+    """Time for which a target is cold after its start; 0 if it never is."""
+    cold_per_s: RequestRate = 0.0
+    """Requests a second that a cold target tolerates; 0 without a limit."""
 
 
 class WireLimits(msgspec.Struct):
@@ -281,4 +293,11 @@
             wire.first_ms / MS_PER_S,
             wire.managed,
         )
-    return Service(wire.name, wire.max_connections, engine, store)
+    return Service(
+        wire.name,
+        wire.max_connections,
+        engine,
+        store,
+        wire.cold_start_s,
+        wire.cold_per_s,
+    )
--- a/src/laburnumpitch/platform/http_headers.py
+++ b/src/laburnumpitch/platform/http_headers.py
@@ -17,7 +17,7 @@
 from ..transport.header_bytes import embed_text
 from ..transport.http_client import HOP_BY_HOP_HEADERS
 from ..transport.http_server import Headers, HttpRequest
-from .wire_values import MAX_TOKENS
+from .wire_values import MAX_DURATION_MS, MAX_TOKENS
 
 MS_PER_S = 1000.0
 
@@ -30,6 +30,9 @@
 CACHE_SALT = "cache-salt"
 """Salt that separates kept context of different weight versions or organisations."""
 
+COLD_MS = "cold-ms"
+"""Remaining time of a target's cold start, in milliseconds."""
+
 DEADLINE_MS = "deadline-ms"
 """Time left until the deadline, not a point in time."""
 
@@ -157,6 +160,20 @@
     return min(float(text), MAX_RETRY_AFTER_S)
 
 
+def parse_cold_s(text: str) -> float | None:
+    """Parse a remaining cold time in ms and return it in seconds; None if it is none.
+
+    It may be a little below 0 at the end of the time.
+    """
+    try:
+        cold_ms = float(text)
+    except ValueError:
+        return None
+    if not -MAX_DURATION_MS <= cold_ms <= MAX_DURATION_MS:
+        return None
+    return max(0.0, cold_ms / MS_PER_S)
+
+
 def parse_timeout_s(text: str) -> float:
     """Parse a time in milliseconds and return it in seconds.
 
@@ -272,6 +289,7 @@
             is_encoded=header_values.get("content-encoding", "identity") != "identity",
             weight_version=parse_version(header_values.get(WEIGHT_VERSIONS, "")),
             is_leaving=is_leaving(headers),
+            cold_s=parse_cold_s(header_values.get(COLD_MS, "")),
             retry_after_s=(
                 parse_retry_after_s(header_values.get(RETRY_AFTER, ""))
                 if status == UNAVAILABLE_STATUS
--- a/src/laburnumpitch/platform/target_client.py
+++ b/src/laburnumpitch/platform/target_client.py
@@ -24,7 +24,14 @@
 from ..fleet.store_client import StoreEvent, StoreEvents, StoreListing
 from ..transport.http_client import HttpClientPool
 from ..transport.http_server import Headers
-from .http_headers import EXPECT_INSTANCE, INSTANCE_ID, get_first_header, is_leaving
+from .http_headers import (
+    COLD_MS,
+    EXPECT_INSTANCE,
+    INSTANCE_ID,
+    get_first_header,
+    is_leaving,
+    parse_cold_s,
+)
 from .wire_values import Count, Integer, TokenCount
 
 REPORT_PATH = "/-/report"
@@ -274,6 +281,10 @@
         self.clients = HttpClientPool()
         self.on_leaving: Callable[[TargetRecord], None] = lambda target: None
         """Called with an engine that says in its answer that it is leaving."""
+        self.on_cold: Callable[[TargetRecord, float], None] = (
+            lambda target, cold_s: None
+        )
+        """Called with an engine that says in its answer how long it is cold."""
 
     def close(self) -> None:
         """Close the connections."""
@@ -292,17 +303,21 @@
             "GET",
             REPORT_PATH,
             headers,
-            on_headers=lambda headers: self.check_leaving(target, headers),
+            on_headers=lambda headers: self.check_statements(target, headers),
         )
         wire = decode_answer(content, WireReport)
         versions = {model.name: model.version for model in wire.models}
         return EngineReport(wire.sequence, wire.busy, versions, wire.born)
 
-    def check_leaving(self, target: TargetRecord, headers: Headers) -> None:
-        """Check whether an engine says in its answer that it is leaving."""
-        instance_id = get_first_header(headers, INSTANCE_ID)
-        if is_leaving(headers) and instance_id in ("", target.target_id):
+    def check_statements(self, target: TargetRecord, headers: Headers) -> None:
+        """Check whether an engine says in its answer that it is leaving, or cold."""
+        if get_first_header(headers, INSTANCE_ID) not in ("", target.target_id):
+            return
+        if is_leaving(headers):
             self.on_leaving(target)
+        cold_s = parse_cold_s(get_first_header(headers, COLD_MS))
+        if cold_s is not None:
+            self.on_cold(target, cold_s)
 
     async def order_weights(self, target: TargetRecord, order: WeightOrder) -> str:
         """Order an engine to load weights and return the result.
@@ -332,7 +347,7 @@
             max_idle_s=0.0,
             before_write=order.before_write,
         )
-        self.check_leaving(target, answer.headers)
+        self.check_statements(target, answer.headers)
         await answer.read()
         result = ORDER_RESULTS_BY_STATUS.get(answer.status)
         if result is None:
--- a/src/laburnumpitch/relay/configuration.py
+++ b/src/laburnumpitch/relay/configuration.py
@@ -107,6 +107,10 @@
     max_connections: int = 0
     engine: EngineSpec | None = None
     store: StoreSpec | None = None
+    cold_start_s: float = 0.0
+    """Time for which a target is cold after its start; 0 if it never is."""
+    cold_rate_per_s: float = 0.0
+    """Requests a second that a cold target tolerates; 0 without a limit."""
 
 
 @dataclass(frozen=True)
@@ -172,6 +176,11 @@
         """Services and stores by name."""
         return {service.name: service for service in self.services}
 
+    @cached_property
+    def cold_limited_services(self) -> dict[str, Service]:
+        """Services that limit the requests to a cold target, by name."""
+        return {s.name: s for s in self.services if s.cold_rate_per_s > 0}
+
     @cached_property
     def stores(self) -> Sequence[Service]:
         """Services that are stores, sorted by name."""
--- a/src/laburnumpitch/relay/request.py
+++ b/src/laburnumpitch/relay/request.py
@@ -165,6 +165,8 @@
     """Whether the target states that it is leaving."""
     retry_after_s: float | None = None
     """Time for which a target that is too busy asks for no requests."""
+    cold_s: float | None = None
+    """Remaining time of the target's cold start; None if not stated."""
 
 
 @dataclass(frozen=True)
