Cold engines: grants of the coordinator, shares of nodes, a check before the first byte

Change: relay/cold_targets.py knows which targets are cold, relay/cold_grants.py grants, relay/cold_sends.py keeps the rights of a node's requests and checks them right before a request is written. A leader publishes changes of a cold time of services with a limit. The local capacity checks move out of the dispatcher.

--- a/src/laburnumpitch/errors.py
+++ b/src/laburnumpitch/errors.py
@@ -235,6 +235,20 @@
     code = "target_refused"
 
 
+class ColdTargetError(TargetError):
+    """The target is cold, and the request has no valid grant to be sent there."""
+
+    code = "target_cold"
+
+    def __init__(self, detail: str = "") -> None:
+        super().__init__(detail, sent=False)
+
+    @property
+    def is_unreachable(self) -> bool:
+        """Whether the target cannot be reached now."""
+        return False
+
+
 class StreamBrokenError(TargetError):
     """A stream broke after its start and could not be resumed."""
 
--- a/src/laburnumpitch/fleet/fleet_view.py
+++ b/src/laburnumpitch/fleet/fleet_view.py
@@ -14,6 +14,7 @@
 from ..control.raft_messages import Member
 from ..errors import InvalidConfigurationError, LaburnumpitchError
 from ..logging import get_logger
+from ..policy.cold_admission import MAX_CONTACT_AGE_S
 from ..policy.weight_history import WeightHistory
 from ..relay.configuration import RoutingConfiguration
 from .leader_client import LeaderClient
@@ -96,6 +97,8 @@
         self.received_target_ids: set[str] = set()
         """Targets that this term's leader has sent."""
         self.last_contact_s = float("-inf")
+        self.contact_since_s = float("inf")
+        """Start of the present term's contact without a gap of `MAX_CONTACT_AGE_S`."""
         self.is_leader_lost = True
         self.get_local_loads: Callable[[], dict[str, FleetLoad]] = dict
         """Returns this node's load at each target."""
@@ -168,6 +171,9 @@
                 "leader_found", leader=self.leader_client.leader_name, term=answer.term
             )
         self.is_leader_lost = False
+        gap_s = called_s - self.last_contact_s
+        if answer.term > self.term or gap_s > MAX_CONTACT_AGE_S:
+            self.contact_since_s = now_s
         # The leader has heard from this node at this time or later. A node that was
         # suspended may read the answer much later than it was sent.
         self.last_contact_s = called_s
@@ -213,6 +219,13 @@
         configuration = self.configuration
         return configuration is None or service in configuration.services_by_name
 
+    def has_cold_limit(self, service: str) -> bool:
+        """Whether a service limits the requests to cold targets."""
+        configuration = self.configuration
+        return (
+            configuration is not None and service in configuration.cold_limited_services
+        )
+
     def make_snapshot(self) -> FleetSnapshot | None:
         """Return this node's state, or None before the first configuration."""
         facts = self.get_facts()
--- a/src/laburnumpitch/fleet/leader_service.py
+++ b/src/laburnumpitch/fleet/leader_service.py
@@ -54,6 +54,7 @@
         get_leader_hint: Returns the leader's host as this node knows it, or "".
         announce_address: This node's address for the targets' announcements.
         decode_configuration: Parses a configuration's text.
+        has_cold_limit: Returns whether a service limits the requests to cold targets.
     """
 
     def __init__(
@@ -62,7 +63,9 @@
         get_leader_hint: Callable[[], str],
         announce_address: str,
         decode_configuration: Callable[[bytes], RoutingConfiguration],
+        has_cold_limit: Callable[[str], bool] = lambda service: False,
     ) -> None:
+        self.has_cold_limit = has_cold_limit
         self.replica_manager = replica_manager
         self.get_leader_hint = get_leader_hint
         self.announce_address = announce_address
@@ -147,7 +150,10 @@
         """Apply an announcement; answer once every reachable node has the change."""
         replica, publisher = self.require_leader_state()
         previous = publisher.targets.entries.get(call.record.target_id)
-        if publisher.targets.apply_announcement(call.record, publisher.get_time_s()):
+        is_cold_limited = self.has_cold_limit(call.record.service)
+        if publisher.targets.apply_announcement(
+            call.record, publisher.get_time_s(), is_cold_limited
+        ):
             self.log_target_change(call.record, previous.record if previous else None)
             publisher.notify_change()
             await publisher.subscriptions.wait_confirmed(publisher.sequence)
--- a/src/laburnumpitch/fleet/target_table.py
+++ b/src/laburnumpitch/fleet/target_table.py
@@ -19,6 +19,10 @@
 """Time for which a gone target's entry is kept, so that a late announcement does not
 bring the target back; far longer than a partition can delay an announcement."""
 
+COLD_TOLERANCE_S = 0.1
+"""Change of a target's cold time, apart from the time that has passed, that is sent to
+the nodes; announcements are delayed by less in undisturbed operation."""
+
 MAX_MISSED_INTERVALS = 3.0
 """Announcement intervals without an announcement after which a target counts as not
 announcing (`is_silent`)."""
@@ -67,9 +71,17 @@
         """Return the records that changed after a sequence number."""
         return [e.record for e in self.entries.values() if e.changed_sequence > after]
 
-    def apply_announcement(self, record: TargetRecord, now_s: float) -> bool:
+    def apply_announcement(
+        self, record: TargetRecord, now_s: float, is_cold_limited: bool = False
+    ) -> bool:
         """Apply an announcement, unless a newer one is known.
 
+        Args:
+            record: The announcement.
+            now_s: Monotonic time.
+            is_cold_limited: Whether nodes limit the requests to the target while it is
+                cold, and so need to know changes of that time.
+
         Returns:
             Whether it changes anything that other nodes act on.
         """
@@ -94,8 +106,11 @@
             return False
         if record.born_ms == previous.born_ms:
             record = merge_with_previous(record, previous)
+        elapsed_s = now_s - entry.last_seen_s
         entry.last_seen_s = now_s
-        if is_equivalent(record, previous):
+        if is_equivalent(record, previous) and not (
+            is_cold_limited and has_other_cold_time(record, previous, elapsed_s)
+        ):
             entry.record = record
             return False
         self.put(record, now_s)
@@ -221,6 +236,7 @@
         record,
         is_leaving=record.is_leaving or previous.is_leaving,
         has_said_leaving=previous.has_said_leaving,
+        returns=previous.returns + (previous.is_silent or previous.is_gone),
         is_loading=previous.is_loading,
         is_retiring=previous.is_retiring,
         versions=versions,
@@ -228,6 +244,20 @@
     )
 
 
+def has_other_cold_time(
+    record: TargetRecord, previous: TargetRecord, elapsed_s: float
+) -> bool:
+    """Whether a target's cold time differs from what the former announcement says.
+
+    Args:
+        record: The announcement.
+        previous: The former one.
+        elapsed_s: Time between the two.
+    """
+    expected_s = max(0.0, previous.cold_s - elapsed_s)
+    return abs(record.cold_s - expected_s) > COLD_TOLERANCE_S
+
+
 def is_equivalent(record: TargetRecord, previous: TargetRecord) -> bool:
     """Whether two records are equal in all fields that nodes act on."""
     return replace(record, sequence=0, cold_s=0.0) == replace(
--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -127,6 +127,7 @@
             self.get_leader_hint,
             settings.control_address,
             decode_configuration,
+            self.fleet_view.has_cold_limit,
         )
         self.relay = FleetRelay(
             settings,
@@ -138,6 +139,7 @@
             self.metrics,
         )
         self.engine_client.on_leaving = self.relay.services.record_leaving
+        self.engine_client.on_cold = self.relay.services.record_cold
         self.make_servers()
 
     def make_replica_manager(self) -> ReplicaManager | None:
--- a/src/laburnumpitch/fleet_relay.py
+++ b/src/laburnumpitch/fleet_relay.py
@@ -22,6 +22,8 @@
 from .metrics import Metrics
 from .platform.http_headers import HeaderTranslator
 from .platform.settings_file import FleetSettings
+from .policy.cold_admission import ColdBounds
+from .relay.cold_targets import ColdTargets
 from .relay.context_planner import ContextPlanner
 from .relay.coordinator import Coordinator
 from .relay.dispatcher import Dispatcher
@@ -70,6 +72,13 @@
             get_time_s,
             settings.outdated_weights_s,
             settings.drain_s,
+            ColdTargets(
+                fleet_view,
+                statistics,
+                get_time_s,
+                ColdBounds(settings.cold_overrun, settings.cold_slack),
+                metrics,
+            ),
         )
         self.coordinator = Coordinator(catalog, get_time_s, random_source)
         self.placement_client = PlacementClient(
--- a/src/laburnumpitch/metrics.py
+++ b/src/laburnumpitch/metrics.py
@@ -54,6 +54,9 @@
     ),
     Metric("stream.unknown", "counter", "streams", "Of these, of unknown origin."),
     Metric("place.unanswered", "counter", "calls", "Unanswered calls of coordinators."),
+    Metric("cold.granted", "counter", "requests", "Sends to cold targets granted."),
+    Metric("cold.expired", "counter", "requests", "Sends stopped without a grant."),
+    Metric("cold.local", "counter", "requests", "Sends to cold ones of the own share."),
     Metric("task.failed", "counter", "errors", "Unexpected errors of tasks."),
     Metric("quarantine.fingerprints", "gauge", "fingerprints", "Quarantined requests."),
 )
--- a/src/laburnumpitch/relay/answer_checks.py
+++ b/src/laburnumpitch/relay/answer_checks.py
@@ -40,14 +40,12 @@
     return metadata.request_id == request_id or (is_unnamed and is_first_answer)
 
 
-def states_leaving(metadata: AnswerMetadata, target_id: str) -> bool:
-    """Whether a target states in its own answer that it is leaving.
+def is_of_target(metadata: AnswerMetadata, target_id: str) -> bool:
+    """Whether an answer's statements about its sender are about a target.
 
-    Any answer of a target states that, also one to another attempt. Whoever has
+    Any answer of a target states them, also one to another attempt. Whoever has
     replaced the target at its address says nothing about it.
     """
-    if not metadata.is_leaving:
-        return False
     is_named = metadata.instance_id == target_id
     return is_named or not (metadata.instance_id or metadata.is_misdirected)
 
--- a/src/laburnumpitch/relay/answer_deadlines.py
+++ b/src/laburnumpitch/relay/answer_deadlines.py
@@ -169,6 +169,8 @@
             return None
         if self.services.statistics.is_possibly_unreachable(target):
             return None
+        if not dispatcher.cold_sends.may_send(admitted, target):
+            return None
         call = dispatcher.make_place_call(admitted, self.excluded, self.get_build())
         return target if dispatcher.catalog.is_eligible(target, call) else None
 
--- a/src/laburnumpitch/relay/coordinator.py
+++ b/src/laburnumpitch/relay/coordinator.py
@@ -15,6 +15,7 @@
 from ..policy.placement_ledger import PlacementLedger
 from ..policy.probe_schedule import ProbeSchedule
 from ..policy.target_selection import TargetCandidate, choose_target
+from .cold_grants import ColdGrants
 from .target_catalog import TargetCatalog
 
 ASSIGNMENT_PREFIX = "places/"
@@ -69,6 +70,7 @@
         self.backoff_until_s: dict[str, float] = {}
         """Until when targets in backoff at some node count as possibly unreachable."""
         self.probe_schedule = ProbeSchedule()
+        self.cold_grants = ColdGrants(catalog.cold, get_time_s)
         self.logged_s: dict[str, float] = {}
         """When the load was logged, by service."""
         self.log = get_logger()
@@ -82,6 +84,9 @@
         records = self.catalog.fleet_view.targets.get_records()
         target_ids = {record.target_id for record in records}
         self.probe_schedule.retain(target_ids)
+        self.cold_grants.retain(target_ids)
+        for service in self.catalog.cold.list_limited_services():
+            self.cold_grants.record_assignment(service, self.is_assigned(service))
         for target_id in set(self.backoff_until_s) - target_ids:
             del self.backoff_until_s[target_id]
         for service in list(self.ledgers):
@@ -125,6 +130,7 @@
             self.log.info("places_expired", service=call.service, count=expired)
         for target_id in call.suspects:
             self.backoff_until_s[target_id] = now_s + SHARED_BACKOFF_S
+        self.catalog.cold.apply_news(call.service, call.cold)
         excluded_ids = {*call.excluded, *call.suspects}
         targets = [
             target
@@ -142,7 +148,9 @@
             return PlaceAnswer("", 0, self.choose_retry_delay_s(ledger, targets, call))
         self.log_load(call.service, ledger, now_s)
         number = ledger.assign(chosen.target_id, call.prompt_tokens, now_s)
-        return PlaceAnswer(chosen.target_id, number, 0.0)
+        target = next(t for t in targets if t.target_id == chosen.target_id)
+        is_cold_grant = self.cold_grants.take(target)
+        return PlaceAnswer(chosen.target_id, number, 0.0, is_cold_grant)
 
     def log_load(self, service: str, ledger: PlacementLedger, now_s: float) -> None:
         """Log a service's load, at intervals."""
@@ -185,6 +193,8 @@
         self, ledger: PlacementLedger, target: TargetRecord, call: PlaceCall
     ) -> bool:
         """Whether a target has capacity to start a request soon enough."""
+        if not self.cold_grants.may_place(target):
+            return False
         load = ledger.get_usage(target.target_id)
         if not load.running:
             return True
@@ -201,10 +211,14 @@
     def choose_retry_delay_s(
         self, ledger: PlacementLedger, targets: list[TargetRecord], call: PlaceCall
     ) -> float:
-        """Return the time until a target's backlog falls to the bound, with jitter."""
+        """Return the time until a target's backlog falls to the bound, with jitter.
+
+        Cold targets are left out: the next grant goes to one of many waiting requests.
+        """
         min_s, max_s = RETRY_DELAY_S
+        warm = [t for t in targets if not self.catalog.cold.is_cold(t)]
         excess_s = min(
-            (ledger.get_backlog_s(t.target_id) - call.max_backlog_s for t in targets),
+            (ledger.get_backlog_s(t.target_id) - call.max_backlog_s for t in warm),
             default=max_s,
         )
         return min(max_s, max(min_s, excess_s)) * self.random.uniform(0.7, 1.3)
--- a/src/laburnumpitch/relay/dispatcher.py
+++ b/src/laburnumpitch/relay/dispatcher.py
@@ -10,12 +10,13 @@
 from .._tasks import TASK_FAILURES
 from ..errors import NoTargetError, OverloadedError
 from ..fleet.load_totals import NO_LOAD
-from ..fleet.messages import FleetLoad, PlaceAnswer, PlaceCall, TargetRecord
+from ..fleet.messages import PlaceAnswer, PlaceCall, TargetRecord
 from ..policy.backlog_bound import get_max_backlog_s
-from ..policy.capacity import TargetCapacity, has_capacity
 from ..policy.queue_priority import QueuePriority, can_meet_objective
 from ..policy.send_window import SendWindow
 from ..policy.target_selection import choose_target, estimate_other_nodes_load
+from .cold_sends import ColdSends
+from .local_capacity import get_mean_other_load, has_local_capacity
 from .placement_client import Placement
 from .request import AdmittedRequest
 from .request_queue import QueuedRequest, QueueKey, RequestQueue, make_priority
@@ -78,6 +79,7 @@
         self.queue = RequestQueue(get_time_s)
         self.placements: dict[int, Placement] = {}
         """Placements by `id` of the request that holds them."""
+        self.cold_sends = ColdSends(catalog.cold)
         self.send_windows: dict[str, SendWindow] = {}
         """Bounds on the prompts in prefill without a coordinator, by service."""
         self.dispatch_tasks: dict[QueueKey, asyncio.Task[None]] = {}
@@ -250,6 +252,7 @@
             suspects=backoff_ids,
             is_resumable=admitted.route.is_resumable,
             build=build,
+            cold=self.catalog.cold.list_news(admitted.service),
         )
 
     def get_max_backlog_s(
@@ -266,6 +269,7 @@
         """Return a target, and count the request there; None if none has capacity."""
         key = (admitted.service, build)
         call = self.make_place_call(admitted, excluded, build)
+        asked_s = self.cold_sends.get_clock_s()
         result = await self.placement_source.request_placement(call)
         if result is None:
             self.retry_delays_s.pop(key, None)
@@ -275,7 +279,11 @@
             self.retry_delays_s[key] = answer.wait_s
             return None
         target = self.catalog.find_target(admitted.service, answer.target_id, build)
-        if target is None or not self.catalog.is_eligible(target, call):
+        if (
+            target is None
+            or not self.catalog.is_eligible(target, call)
+            or not self.cold_sends.take_grant(admitted, target, answer, asked_s)
+        ):
             # This node has newer data on the target than the coordinator.
             self.placement_source.release(placement)
             return self.choose_locally(admitted, call)
@@ -294,9 +302,10 @@
             for target in self.catalog.get_targets(admitted.service, call.build)
             if target.target_id not in call.excluded
             and self.catalog.is_eligible(target, call)
-            and self.has_capacity(target, call)
+            and has_local_capacity(self.catalog, target, call)
+            and self.cold_sends.may_send_locally(target)
         ]
-        mean_running = self.get_mean_other_load(targets)
+        mean_running = get_mean_other_load(self.fleet_view.other_loads, targets)
         store = self.catalog.find_session_store(call)
         candidates = []
         for target in targets:
@@ -322,32 +331,13 @@
             return None
         target = next(t for t in targets if t.target_id == chosen.target_id)
         self.catalog.record_start(target, call.prompt_tokens)
+        self.cold_sends.take_local(admitted, target)
         if admitted.route.has_context:
             self.get_send_window(admitted.service).record_sent(
                 id(admitted), call.prompt_tokens, call.objective_s, self.get_time_s()
             )
         return target
 
-    def has_capacity(self, target: TargetRecord, call: PlaceCall) -> bool:
-        """Whether this node may send one more request to a target."""
-        stats = self.statistics.get(target.target_id)
-        own_load = FleetLoad(stats.running, stats.running_tokens)
-        other_load = self.fleet_view.other_loads.get(target.target_id, NO_LOAD)
-        engine = self.catalog.get_engine_spec(target.service)
-        capacity = TargetCapacity(
-            target.slots, engine.context_tokens if engine else None
-        )
-        nodes = self.fleet_view.node_count
-        return has_capacity(own_load, other_load, call.prompt_tokens, capacity, nodes)
-
-    def get_mean_other_load(self, targets: list[TargetRecord]) -> float:
-        """Return the mean number of other nodes' requests at the given targets."""
-        if not targets:
-            return 0.0
-        loads = self.fleet_view.other_loads
-        running = sum(loads.get(t.target_id, NO_LOAD).running for t in targets)
-        return running / len(targets)
-
     def get_send_window(self, service: str) -> SendWindow:
         """Return the window that bounds the prompts in prefill at a service."""
         window = self.send_windows.get(service)
@@ -386,6 +376,7 @@
     def release(self, target: TargetRecord, admitted: AdmittedRequest) -> None:
         """Subtract a request from its target's load and release its placement."""
         self.statistics.record_end(target, admitted.metadata.prompt_tokens)
+        self.cold_sends.drop(admitted)
         placement = self.placements.pop(id(admitted), None)
         if placement is not None:
             self.placement_source.release(placement)
--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ..errors import (
+    ColdTargetError,
     MalformedAnswerError,
     NoTargetError,
     OverloadedError,
@@ -17,7 +18,6 @@
     check_answer,
     is_own_refusal,
     raise_not_run,
-    states_leaving,
 )
 from .answer_deadlines import AnswerDeadlines
 from .configuration import STREAMING, RoutingConfiguration
@@ -119,6 +119,9 @@
             try:
                 await self.send(target)
                 return
+            except ColdTargetError:
+                # Nothing was sent, and the target has not failed.
+                continue
             except TargetRefusedError as error:
                 self.handle_rejection(target, error)
             except TargetError as error:
@@ -197,8 +200,7 @@
             get_start_timeout_s(self.route)
         )
         request_id = self.admitted.metadata.request_id
-        if states_leaving(metadata, target.target_id):
-            services.record_leaving(target)
+        services.record_statements(target, metadata)
         if is_own_refusal(metadata, request_id, answer.is_first):
             if metadata.retry_after_s is not None:
                 services.record_shedding(target, metadata.retry_after_s)
@@ -370,7 +372,7 @@
         if not is_late or not error.sent:
             services.statistics.record_failure(target, error.is_unreachable)
             if error.is_unreachable:
-                services.report_unreachable(target)
+                services.report_unreachable(target, error)
         services.log_outcome("failed", self.admitted, target, error)
         self.excluded.add(target.target_id)
         if not error.sent:
--- a/src/laburnumpitch/relay/services.py
+++ b/src/laburnumpitch/relay/services.py
@@ -12,12 +12,13 @@
 from ..metrics import Metrics
 from ..transport.http_client import HttpClientPool
 from ..transport.http_server import Headers
+from .answer_checks import is_of_target
 from .context_planner import ContextPlanner
 from .crash_reports import CrashReports
 from .dispatcher import Dispatcher
 from .incarnation_check import IncarnationCheck
 from .leader_notices import LeaderNotices
-from .request import AdmittedRequest, Translator
+from .request import AdmittedRequest, AnswerMetadata, Translator
 from .retry_limiter import RetryLimiter
 from .stream_origins import StreamOrigins
 from .target_statistics import TargetStatistics
@@ -146,6 +147,17 @@
             view=self.fleet_view.sequence,
         )
 
+    def record_statements(self, target: TargetRecord, metadata: AnswerMetadata) -> None:
+        """Record what a target's own answer states of the target."""
+        if is_of_target(metadata, target.target_id):
+            self.dispatcher.catalog.cold.record_answer(target, metadata.cold_s)
+            if metadata.is_leaving:
+                self.record_leaving(target)
+
+    def record_cold(self, target: TargetRecord, cold_s: float) -> None:
+        """Record the remaining cold time that a target's report states."""
+        self.dispatcher.catalog.cold.record_answer(target, cold_s)
+
     def record_leaving(self, target: TargetRecord) -> None:
         """Record that a target is leaving, and notify the leader until it knows."""
         leaving = self.dispatcher.catalog.leaving
@@ -162,8 +174,17 @@
         self.dispatcher.catalog.shedding.record(target, duration_s)
         self.dispatcher.wake_queues()
 
-    def report_unreachable(self, target: TargetRecord) -> None:
-        """Notify the leader that a target is unreachable, at a limited rate."""
+    def report_unreachable(
+        self, target: TargetRecord, error: TargetError | None = None
+    ) -> None:
+        """Notify the leader that a target is unreachable, at a limited rate.
+
+        Args:
+            target: The target.
+            error: How a request failed; None if the target is only silent.
+        """
+        if error is not None and (error.has_died or not error.sent):
+            self.dispatcher.catalog.cold.record_unreachable(target)
         now_s = self.get_time_s()
         if (
             target.is_silent
--- a/src/laburnumpitch/relay/target_catalog.py
+++ b/src/laburnumpitch/relay/target_catalog.py
@@ -9,6 +9,7 @@
 from ..fleet.store_owner import REMOTE_TRANSFER_FACTOR
 from ..policy.leaving_targets import DRAIN_S
 from ..policy.target_selection import PREFILL_TOKENS_PER_S, TargetCandidate
+from .cold_targets import ColdTargets
 from .configuration import EngineSpec, StoreSpec
 from .leaving_targets import LeavingTargets
 from .shedding_targets import SheddingTargets
@@ -34,6 +35,7 @@
         outdated_weights_s: Time after a weight version is set in which requests may
             still begin on older weights, whether or not a newer one is set meanwhile.
         drain_s: Time for which a leaving target still serves.
+        cold: The cold targets; None for the default bounds.
     """
 
     def __init__(
@@ -43,6 +45,7 @@
         get_time_s: Callable[[], float],
         outdated_weights_s: float,
         drain_s: float = DRAIN_S,
+        cold: ColdTargets | None = None,
     ) -> None:
         self.fleet_view = fleet_view
         self.statistics = statistics
@@ -50,6 +53,7 @@
         self.outdated_weights_s = outdated_weights_s
         self.leaving = LeavingTargets(get_time_s, drain_s)
         self.shedding = SheddingTargets(get_time_s)
+        self.cold = cold or ColdTargets(fleet_view, statistics, get_time_s)
         self.by_service: dict[str, list[TargetRecord]] = {}
 
     def update(self) -> None:
@@ -64,6 +68,7 @@
         self.statistics.retain({record.target_id for record in records})
         self.leaving.retain(records)
         self.shedding.drop_ended()
+        self.cold.update()
 
     def get_targets(self, service: str, build: str = "") -> list[TargetRecord]:
         """Return the targets of a service that may get new requests of this node.
@@ -250,6 +255,7 @@
             self.statistics.is_possibly_unreachable(target),
             version is not None and version < desired_version,
             target.data_centre != call.data_centre,
-            target.cold_s,
+            # The rate of the others is limited instead.
+            0.0 if self.cold.find_limited_service(target.service) else target.cold_s,
             self.estimate_transfer_s(target, call, store),
         )
--- a/src/laburnumpitch/relay/target_sender.py
+++ b/src/laburnumpitch/relay/target_sender.py
@@ -77,6 +77,9 @@
         before_write = None
         if is_bound and services.dispatcher.catalog.get_engine_spec(target.service):
             before_write = await services.incarnation_check.confirm(target)
+        before_write = services.dispatcher.cold_sends.add_check(
+            admitted, target, before_write
+        )
         return await services.clients.get(target.address).request(
             request.method,
             path,
