--- a/src/laburnumpitch/policy/cold_admission.py
+++ b/src/laburnumpitch/policy/cold_admission.py
@@ -23,13 +23,18 @@
 second then come from grants of at most 1.3 s, also if a node is suspended."""
 
 MAX_CONTACT_AGE_S = 1.0
-"""Age of the last contact with the leader up to which a coordinator grants. The leader
+"""Age of the last contact with the leader up to which a coordinator grants. A leader
 assigns its services to another node 1.4 s after the contact at the earliest, when the
 last grant has expired."""
 
 TAKEOVER_WAIT_S = MAX_CONTACT_AGE_S + GRANT_VALIDITY_S
-"""Time after which grants of a former coordinator have expired, whose last contact was
-before the assignment was changed. A new leader may change it without a timeout."""
+"""Time after which the grants of a former coordinator have expired whose last contact
+was with a former leader. A new leader may name another coordinator at once."""
+
+SETTLE_S = 3.0
+"""Time after the first contact with a leader from which it changes an assignment only
+after the timeout of the former coordinator's contact. It waits 1 s for calls of nodes;
+the former leader may answer some of them a little longer."""
 
 LOCAL_SENDERS = 2
 """Nodes that may send to a cold engine without a grant."""
@@ -122,15 +127,21 @@
         self.times_s.append(now_s)
 
 
-def may_grant(contact_age_s: float, assigned_for_s: float) -> bool:
+def may_grant(
+    contact_age_s: float, contact_for_s: float, assigned_for_s: float
+) -> bool:
     """Whether a coordinator may grant sends to cold engines.
 
     Args:
         contact_age_s: Time since its last contact with the leader.
-        assigned_for_s: Time for which it has known of its assignment without losing the
-            contact.
+        contact_for_s: Time for which it has had contact with this term's leader without
+            losing it.
+        assigned_for_s: Time for which it has known of its assignment.
     """
-    return contact_age_s < MAX_CONTACT_AGE_S and assigned_for_s >= TAKEOVER_WAIT_S
+    if contact_age_s >= MAX_CONTACT_AGE_S or contact_for_s < TAKEOVER_WAIT_S:
+        return False
+    is_settled = contact_for_s - assigned_for_s >= SETTLE_S
+    return is_settled or assigned_for_s >= TAKEOVER_WAIT_S
 
 
 def is_expired(asked_s: float, now_s: float) -> bool:
--- a/src/laburnumpitch/relay/cold_grants.py
+++ b/src/laburnumpitch/relay/cold_grants.py
@@ -45,9 +45,10 @@
         if assigned_s is None:
             return False
         # Another node may have been the coordinator while the contact was lost.
-        since_s = max(assigned_s, self.fleet_view.contact_since_s)
-        assigned_for_s = self.fleet_view.get_time_s() - since_s
-        return may_grant(self.fleet_view.get_contact_age_s(), assigned_for_s)
+        now_s, view = self.fleet_view.get_time_s(), self.fleet_view
+        return may_grant(
+            view.get_contact_age_s(), now_s - view.contact_since_s, now_s - assigned_s
+        )
 
     def may_place(self, target: TargetRecord) -> bool:
         """Whether a target is warm, or a send to it may be granted."""
