--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -106,6 +106,24 @@
         self.assertGreaterEqual(record.cold_s, 0.0)
 
 
+class ColdTimeTest(testtools.TestCase):
+    """Announcements with and without a cold time."""
+
+    scenarios = [
+        ("stated", {"value": b"250", "expected": (True, 0.25)}),
+        ("over", {"value": b"-0.5", "expected": (True, 0.0)}),
+        ("missing", {"value": None, "expected": (False, 0.0)}),
+    ]
+
+    def test_cold_time(self) -> None:
+        """A target that does not state it was taken for one that says it is warm."""
+        fields = {**SOUND, "cold_remaining_ms": msgspec.Raw(self.value or b"0")}
+        if self.value is None:
+            del fields["cold_remaining_ms"]
+        record = decode_now(msgspec.json.encode(fields))
+        self.assertEqual(self.expected, (record.states_cold, record.cold_s))
+
+
 class OddTest(testtools.TestCase):
     """Entries of another writer, one odd value in each."""
 
@@ -144,6 +162,7 @@
             ("negative_slots", make_body(slots=-1)),
             ("endless_cold_time", make_body(cold_remaining_ms=1e305)),
             ("cold_time_above_a_float", make_raw("cold_remaining_ms", b"1e400")),
+            ("cold_time_is_null", make_raw("cold_remaining_ms", b"null")),
             ("cold_time_is_no_number", make_raw("cold_remaining_ms", b"NaN")),
             ("cold_time_far_below_zero", make_body(cold_remaining_ms=-1e305)),
             (
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -181,6 +181,31 @@
         self.assertEqual(0.0, 1000 / store.link_bytes_per_s)
 
 
+class ColdTest(testtools.TestCase):
+    """Services whose targets tolerate few requests when they are cold."""
+
+    scenarios = [
+        (
+            "limited",
+            {"fields": {"cold_start_s": 3, "cold_per_s": 5.9}, "limited": {"m"}},
+        ),
+        ("no_limit", {"fields": {"cold_start_s": 3.0, "cold_per_s": 0}}),
+        ("not_stated", {"fields": {}}),
+    ]
+    limited: set[str] = set()
+
+    def test_limit(self) -> None:
+        """Only a service with a rate has a limit; deployments of today have none."""
+        service = {"name": "m", **self.fields}
+        configuration = decode_configuration(make_changed(["services", 0], service))
+        self.assertEqual(self.limited, set(configuration.cold_limited_services))
+        found = configuration.services_by_name["m"]
+        self.assertEqual(
+            (self.fields.get("cold_start_s", 0), self.fields.get("cold_per_s", 0)),
+            (found.cold_start_s, found.cold_rate_per_s),
+        )
+
+
 class InvalidTest(testtools.TestCase):
     """Configurations that are rejected."""
 
@@ -266,6 +291,14 @@
             "negative_header_limit",
             {"body": make_changed(["limits", "max_header_bytes"], -1)},
         ),
+        (
+            "negative_cold_rate",
+            {"body": make_changed(["services", 0], {"name": "m", "cold_per_s": -1})},
+        ),
+        (
+            "cold_start_is_no_number",
+            {"body": make_changed(["services", 0], {"name": "m", "cold_start_s": "3"})},
+        ),
         ("nested_too_deeply", {"body": make_nested(MAX_NESTING + 1)}),
         ("nested_hundreds_deep", {"body": make_nested(500)}),
         ("nested_beyond_the_stack", {"body": make_nested(100_000)}),
--- a/tests/platform/test_settings_file.py
+++ b/tests/platform/test_settings_file.py
@@ -64,6 +64,20 @@
         self.assertEqual("n1", read_text(self.text).node_id)
 
 
+class ColdBoundsTest(testtools.TestCase):
+    """Bounds of the requests to cold targets."""
+
+    scenarios = [
+        ("default", {"lines": "", "expected": (1.5, 5.0)}),
+        ("set", {"lines": "cold_overrun = 2\ncold_slack = 0", "expected": (2.0, 0.0)}),
+    ]
+
+    def test_bounds(self) -> None:
+        """They are read from the bounds of the platform."""
+        settings = read_text(SOUND.replace("[bounds]", f"[bounds]\n{self.lines}"))
+        self.assertEqual(self.expected, (settings.cold_overrun, settings.cold_slack))
+
+
 class SeedTest(testtools.TestCase):
     """Seeds among which one is odd."""
 
@@ -95,6 +109,14 @@
         ("grace_is_infinite", make_changed("grace_s = 8", "grace_s = inf")),
         ("negative_grace", make_changed("grace_s = 8", "grace_s = -8")),
         ("ratio_is_no_number", make_changed("ratio = 0.2", "ratio = nan")),
+        (
+            "overrun_is_infinite",
+            make_changed("[bounds]", "[bounds]\ncold_overrun = inf"),
+        ),
+        (
+            "cold_slack_below_zero",
+            make_changed("[bounds]", "[bounds]\ncold_slack = -1"),
+        ),
         ("slack_is_infinite", make_changed("retry_slack = 58", "retry_slack = inf")),
         (
             "lease_of_400_digits",
--- a/tests/platform/test_target_client.py
+++ b/tests/platform/test_target_client.py
@@ -94,6 +94,19 @@
         )
         self.assertEqual(self.expected, leaving_ids)
 
+    def test_cold_report(self) -> None:
+        """The cold time of another engine was taken for this one's."""
+        found = []
+
+        async def read(client: PlatformEngineClient, target: TargetRecord) -> None:
+            client.on_cold = lambda target, cold_s: found.append(cold_s)
+            await client.read_report(target)
+
+        self.headers = [*self.headers, "Cold-Ms: 1500"]
+        self.call(REPORT_PATH, REPORT, read)
+        is_own = "Instance-Id: t7" not in self.headers
+        self.assertEqual([1.5] if is_own else [], found)
+
     def test_refused_report(self) -> None:
         """A refusal's header was overlooked, or taken for this engine's."""
 
