--- a/harness/reference.py
+++ b/harness/reference.py
@@ -11,6 +11,7 @@
 from laburnumpitch.control.document import SCHEMAS
 from laburnumpitch.errors import get_error_classes
 from laburnumpitch.metrics import METRICS
+from laburnumpitch.platform.settings_file import WireBounds
 from laburnumpitch.settings import INIT_SETTINGS, NODE_SETTINGS, OPERATOR_SETTINGS
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -45,6 +46,9 @@
         ]
         parts.append(f"## {title}\n")
         parts.append(make_table(("flag", "variable", "default", "meaning"), rows))
+    rows = [row for row in make_field_rows(WireBounds) if row[-1]]
+    parts.append("## settings file of laburnumpitch serve, [bounds]\n")
+    parts.append(make_table(("name", "default", "meaning"), rows))
     return "\n".join(parts)
 
 
@@ -91,29 +95,35 @@
     return heading + make_table(("event", "module"), rows)
 
 
+def make_field_rows(schema: type) -> list[tuple[str, ...]]:
+    """Return name, default and meaning of each field of a message."""
+    source = inspect.getsource(schema)
+    rows = []
+    for field in schema.__struct_fields__:
+        match = re.search(
+            rf"^    {field}: .*?(?:\n    \"\"\"(.*?)\"\"\"|\n    \w|\Z)",
+            source,
+            re.MULTILINE | re.DOTALL,
+        )
+        text = (match[1] or "") if match else ""
+        position = schema.__struct_fields__.index(field)
+        index_from_end = position - len(schema.__struct_fields__)
+        defaults = schema.__struct_defaults__
+        default = "required"
+        if -index_from_end <= len(defaults):
+            value = defaults[index_from_end]
+            is_list = not isinstance(value, (int, float, str))
+            default = "`[]`" if is_list else f"`{value!r}`"
+        rows.append((f"`{field}`", default, " ".join(text.split())))
+    return rows
+
+
 def make_document_page() -> str:
     """Return the reference page of the document's sections."""
     parts = ["# The document\n", GENERATED_NOTE]
     for kind, schema in SCHEMAS.items():
         doc = (inspect.getdoc(schema) or "").replace("\n", " ")
-        source = inspect.getsource(schema)
-        rows = []
-        for field in schema.__struct_fields__:
-            match = re.search(
-                rf"^    {field}: .*?(?:\n    \"\"\"(.*?)\"\"\"|\n    \w|\Z)",
-                source,
-                re.MULTILINE | re.DOTALL,
-            )
-            text = (match[1] or "") if match else ""
-            position = schema.__struct_fields__.index(field)
-            index_from_end = position - len(schema.__struct_fields__)
-            defaults = schema.__struct_defaults__
-            default = "required"
-            if -index_from_end <= len(defaults):
-                value = defaults[index_from_end]
-                is_list = not isinstance(value, (int, float, str))
-                default = "`[]`" if is_list else f"`{value!r}`"
-            rows.append((f"`{field}`", default, " ".join(text.split())))
+        rows = make_field_rows(schema)
         parts.append(f"## {kind}\n\n{doc}\n")
         parts.append(make_table(("field", "default", "meaning"), rows))
     return "\n".join(parts)
--- a/src/laburnumpitch/platform/settings_file.py
+++ b/src/laburnumpitch/platform/settings_file.py
@@ -62,7 +62,9 @@
     catch_up_s: DurationS = 4
     drain_ms: DurationMs = 2000
     cold_overrun: Ratio = ColdBounds.overrun
+    """Requests that a cold target may get in a second, relative to its rate."""
     cold_slack: Requests = ColdBounds.slack
+    """Further requests that a cold target may get in a second."""
 
 
 class WireFaultTolerance(msgspec.Struct):
