--- a/src/laburnumpitch/relay/cold_targets.py
+++ b/src/laburnumpitch/relay/cold_targets.py
@@ -96,6 +96,8 @@
         self.bounds = bounds or ColdBounds()
         self.loads = ColdLoads(get_time_s, metrics or Metrics())
         self.evacuated: frozenset[str] = frozenset()
+        self.evacuation_ended_s: dict[str, float] = {}
+        """When the last evacuation of each data centre ended."""
         self.states: dict[str, ColdState] = {}
         """What is known of the targets of services with a limit, by identifier."""
         self.cold_ids: set[str] = set()
@@ -121,6 +123,8 @@
         evacuated = get_evacuated(self.fleet_view)
         returned_data_centres = self.evacuated - evacuated
         self.evacuated = evacuated
+        now_s = self.get_time_s()
+        self.evacuation_ended_s |= dict.fromkeys(returned_data_centres, now_s)
         configuration = self.fleet_view.configuration
         if configuration is None or not configuration.cold_limited_services:
             self.states.clear()
@@ -154,6 +158,11 @@
             self.set_announced(state, record.cold_s, ANNOUNCED)
             if is_new and not record.states_cold:
                 self.extend(state, service.cold_start_s, RESTARTED)
+            ended_s = self.evacuation_ended_s.get(record.data_centre)
+            if ended_s is not None:
+                # Its announcement may have been made before the end.
+                end_s = ended_s + service.cold_start_s
+                self.extend(state, end_s - self.get_time_s(), EVACUATION_ENDED)
         elif state.entry is not entry:
             previous, state.entry = state.record, entry
             has_returned = (
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -166,6 +166,8 @@
         """Whether all its incarnations have one id."""
         self.announces = True
         """Whether it sends heartbeats."""
+        self.cold_remaining_ms = 0
+        """Remaining time of a cold start that it announces."""
         self.target_id = ""
         self.is_running = False
         self.tasks: set[asyncio.Task] = set()
@@ -246,7 +248,7 @@
             "version": self.build,
             "slots": self.slots,
             "state": "draining" if self.is_draining else "ready",
-            "cold_remaining_ms": 0,
+            "cold_remaining_ms": self.cold_remaining_ms,
             "models": models if self.has_weights else [],
             "sequence": self.heartbeat_sequence,
             "born": self.started_at_ms,
--- a/tests/relay/test_cold_targets.py
+++ b/tests/relay/test_cold_targets.py
@@ -128,6 +128,9 @@
         self.evacuate()
         self.apply(SECOND)
         self.assertEqual(COLD_START_S, self.get_cold_s())
+        self.now_s += 1.0
+        self.apply(RESTARTED)
+        self.assertEqual(COLD_START_S - 1.0, self.get_cold_s())
 
 
 class NoLimitTest(ColdTargetsCase):
