--- a/src/laburnumpitch/fleet/messages.py
+++ b/src/laburnumpitch/fleet/messages.py
@@ -70,6 +70,10 @@
     """Version of the target's software."""
     has_said_leaving: bool = False
     """Whether the target said in an answer that it is leaving."""
+    states_cold: bool = False
+    """Whether the announcement stated `cold_s`; older software does not tell."""
+    returns: int = 0
+    """How often the target has announced itself again after silence, in this term."""
 
 
 class Announce(Message):
@@ -315,6 +319,8 @@
     """Build that the target must have, since it began the stream; empty for any."""
     allowed_regions: tuple[str, ...] | None = None
     """Regions that the target may be in; None without a restriction."""
+    cold: dict[str, float] = field(default_factory=dict)
+    """Seconds for which targets are cold of which the coordinator may not know it."""
 
 
 class PlaceAnswer(Message):
@@ -326,6 +332,8 @@
     """Identifies the placement when it is released."""
     wait_s: float
     """Time after which to call again if there is no placement."""
+    is_cold_grant: bool = False
+    """Whether the target is cold; the request has to be sent soon then."""
 
 
 class PlaceProgress(Message):
--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -129,6 +129,7 @@
             self.get_leader_hint,
             settings.control_address,
             decode_configuration,
+            self.fleet_view.has_cold_limit,
         )
         self.evacuation_service = EvacuationService(
             self.leader_service.require_leader_state,
@@ -145,6 +146,7 @@
             self.metrics,
         )
         self.engine_client.on_leaving = self.relay.services.record_leaving
+        self.engine_client.on_cold = self.relay.services.record_cold
         self.make_servers()
 
     def make_replica_manager(self) -> ReplicaManager | None:
--- a/src/laburnumpitch/metrics.py
+++ b/src/laburnumpitch/metrics.py
@@ -71,6 +71,9 @@
     Metric(
         "explain.calls", "counter", "calls", "Requests that operators had explained."
     ),
+    Metric("cold.granted", "counter", "requests", "Sends to cold targets granted."),
+    Metric("cold.expired", "counter", "requests", "Sends stopped without a grant."),
+    Metric("cold.local", "counter", "requests", "Sends to cold ones of the own share."),
     Metric("task.failed", "counter", "errors", "Unexpected errors of tasks."),
     Metric("quarantine.fingerprints", "gauge", "fingerprints", "Quarantined requests."),
 )
--- a/src/laburnumpitch/relay/dispatcher.py
+++ b/src/laburnumpitch/relay/dispatcher.py
@@ -10,12 +10,12 @@
 
 from .._tasks import TASK_FAILURES
 from ..errors import OverloadedError
-from ..fleet.load_totals import NO_LOAD
-from ..fleet.messages import FleetLoad, PlaceAnswer, PlaceCall, TargetRecord
-from ..policy.capacity import TargetCapacity, has_capacity
+from ..fleet.messages import PlaceAnswer, PlaceCall, TargetRecord
 from ..policy.send_window import SendWindow
 from ..policy.target_selection import choose_target
+from .cold_sends import ColdSends
 from .local_candidates import make_local_candidates
+from .local_capacity import has_local_capacity
 from .place_calls import make_place_call
 from .placement_client import Placement
 from .request import AdmittedRequest
@@ -81,6 +81,7 @@
         self.queue = RequestQueue(get_time_s)
         self.placements: dict[int, Placement] = {}
         """Placements by `id` of the request that holds them."""
+        self.cold_sends = ColdSends(catalog.cold)
         self.send_windows: dict[str, SendWindow] = {}
         """Bounds on the prompts in prefill without a coordinator, by service."""
         self.dispatch_tasks: dict[QueueKey, asyncio.Task[None]] = {}
@@ -256,6 +257,7 @@
         """Return a target, and count the request there; None if none has capacity."""
         key = self.make_queue_key(admitted, build)
         call = self.make_place_call(admitted, excluded, build)
+        asked_s = self.cold_sends.get_clock_s()
         result = await self.placement_source.request_placement(call)
         if call.allowed_regions != self.make_queue_key(admitted, build)[-1]:
             # The configuration has changed meanwhile.
@@ -270,7 +272,11 @@
         target = self.catalog.find_target(
             admitted.service, answer.target_id, build, call.allowed_regions
         )
-        if target is None or not self.catalog.is_eligible(target, call):
+        if (
+            target is None
+            or not self.catalog.is_eligible(target, call)
+            or not self.cold_sends.take_grant(admitted, target, answer, asked_s)
+        ):
             # This node has newer data on the target than the coordinator.
             self.catalog.region_rules.record_declined(call, answer.target_id)
             self.placement_source.release(placement)
@@ -295,6 +301,7 @@
             return None
         target = next(t for t in targets if t.target_id == chosen.target_id)
         self.catalog.record_start(target, call.prompt_tokens)
+        self.cold_sends.take_local(admitted, target)
         if admitted.route.has_context:
             self.get_send_window(admitted.service).record_sent(
                 id(admitted), call.prompt_tokens, call.objective_s, self.get_time_s()
@@ -317,19 +324,13 @@
             return "excluded"
         if reason := self.catalog.find_exclusion(target, call):
             return reason
+        if not self.cold_sends.may_send_locally(target):
+            return "cold"
         return "" if self.has_capacity(target, call) else "full"
 
     def has_capacity(self, target: TargetRecord, call: PlaceCall) -> bool:
-        """Whether this node may send one more request to a target."""
-        stats = self.statistics.get(target.target_id)
-        own_load = FleetLoad(stats.running, stats.running_tokens)
-        other_load = self.fleet_view.other_loads.get(target.target_id, NO_LOAD)
-        engine = self.catalog.get_engine_spec(target.service)
-        capacity = TargetCapacity(
-            target.slots, engine.context_tokens if engine else None
-        )
-        nodes = self.fleet_view.node_count
-        return has_capacity(own_load, other_load, call.prompt_tokens, capacity, nodes)
+        """Whether this node may send one more request to a target, by its own data."""
+        return has_local_capacity(self.catalog, target, call)
 
     def get_send_window(self, service: str) -> SendWindow:
         """Return the window that bounds the prompts in prefill at a service."""
@@ -369,6 +370,7 @@
     def release(self, target: TargetRecord, admitted: AdmittedRequest) -> None:
         """Subtract a request from its target's load and release its placement."""
         self.statistics.record_end(target, admitted.metadata.prompt_tokens)
+        self.cold_sends.drop(admitted)
         placement = self.placements.pop(id(admitted), None)
         if placement is not None:
             self.placement_source.release(placement)
--- a/src/laburnumpitch/relay/place_calls.py
+++ b/src/laburnumpitch/relay/place_calls.py
@@ -52,6 +52,7 @@
         is_resumable=admitted.route.is_resumable,
         build=build,
         allowed_regions=allowed_regions,
+        cold=catalog.cold.list_news(service),
     )
 
 
--- a/src/laburnumpitch/relay/target_catalog.py
+++ b/src/laburnumpitch/relay/target_catalog.py
@@ -13,6 +13,7 @@
 from ..policy.leaving_targets import DRAIN_S
 from ..policy.regions import AllowedRegions
 from ..policy.target_selection import PREFILL_TOKENS_PER_S, TargetCandidate
+from .cold_targets import ColdTargets
 from .configuration import EngineSpec, StoreSpec
 from .leaving_targets import LeavingTargets
 from .region_rules import RegionRules
@@ -43,6 +44,7 @@
             still begin on older weights, whether or not a newer one is set meanwhile.
         drain_s: Time for which a leaving target still serves.
         region_rules: Finds where requests may be served; without regions by default.
+        cold: The cold targets; None for the default bounds.
     """
 
     def __init__(
@@ -53,6 +55,7 @@
         outdated_weights_s: float,
         drain_s: float = DRAIN_S,
         region_rules: RegionRules | None = None,
+        cold: ColdTargets | None = None,
     ) -> None:
         self.fleet_view = fleet_view
         self.statistics = statistics
@@ -61,6 +64,7 @@
         self.leaving = LeavingTargets(get_time_s, drain_s)
         self.shedding = SheddingTargets(get_time_s)
         self.region_rules = region_rules or RegionRules(fleet_view, {}, Metrics())
+        self.cold = cold or ColdTargets(fleet_view, statistics, get_time_s)
         self.by_service: dict[str, list[TargetRecord]] = {}
 
     def update(self) -> None:
@@ -75,6 +79,7 @@
         self.statistics.retain({record.target_id for record in records})
         self.leaving.retain(records)
         self.shedding.drop_ended()
+        self.cold.update()
 
     def get_targets(
         self, service: str, build: str = "", allowed_regions: AllowedRegions = None
@@ -361,6 +366,7 @@
             self.statistics.is_possibly_unreachable(target),
             version is not None and version < desired_version,
             target.data_centre != call.data_centre,
-            target.cold_s,
+            # The rate of the others is limited instead.
+            0.0 if self.cold.find_limited_service(target.service) else target.cold_s,
             self.estimate_transfer_s(target, call, store),
         )
--- a/src/laburnumpitch/relay/target_sender.py
+++ b/src/laburnumpitch/relay/target_sender.py
@@ -83,6 +83,9 @@
             for check in checks:
                 check()
 
+        before_write = services.dispatcher.cold_sends.add_check(
+            admitted, target, check_before_write
+        )
         return await services.clients.get(target.address).request(
             request.method,
             path,
@@ -95,7 +98,7 @@
                 MAX_STREAM_BYTES if route.kind == STREAMING else MAX_ANSWER_BYTES
             ),
             max_idle_s=max_idle_s,
-            before_write=check_before_write,
+            before_write=before_write,
             connect_timeout_s=PROBE_TIMEOUT_S if is_probe else CONNECT_TIMEOUT_S,
             host=request.get_header("host"),
             extend_deadline=deadlines.extend,
