Target table: who received an announcement makes no change of a target

Cause: states_cold is missing in records that a node of former software decoded, so that a target whose announcements take two ways would be published with each of them during an upgrade. Change: it is ignored where records are compared. Measured: test_cold_times 33, test_target_table 20 passed.

--- a/src/laburnumpitch/fleet/target_table.py
+++ b/src/laburnumpitch/fleet/target_table.py
@@ -259,7 +259,9 @@
 
 
 def is_equivalent(record: TargetRecord, previous: TargetRecord) -> bool:
-    """Whether two records are equal in all fields that nodes act on."""
-    return replace(record, sequence=0, cold_s=0.0) == replace(
-        previous, sequence=0, cold_s=0.0
-    )
+    """Whether two records are equal in all fields that nodes act on.
+
+    `states_cold` depends on the software of the node that received the announcement.
+    """
+    ignored = {"sequence": 0, "cold_s": 0.0, "states_cold": False}
+    return replace(record, **ignored) == replace(previous, **ignored)
--- a/tests/fleet/test_cold_times.py
+++ b/tests/fleet/test_cold_times.py
@@ -26,6 +26,14 @@
         [("limited", {"is_limited": True}), ("no_limit", {"is_limited": False})],
         [
             ("stays_warm", {"first": FIRST, "cold_s": 0.0, "differs": False}),
+            (
+                "received_by_older_software",
+                {
+                    "first": replace(FIRST, states_cold=True),
+                    "cold_s": 0.0,
+                    "differs": False,
+                },
+            ),
             ("becomes_cold", {"first": FIRST, "cold_s": 3.0, "differs": True}),
             ("grows", {"first": COLD, "cold_s": 2.9, "differs": True}),
             ("ends_early", {"first": COLD, "cold_s": 0.0, "differs": True}),
