--- a/src/laburnumpitch/relay/cold_targets.py
+++ b/src/laburnumpitch/relay/cold_targets.py
@@ -33,11 +33,6 @@
 """Cause: another node knows it."""
 
 
-def get_evacuated(fleet_view: FleetView) -> frozenset[str]:
-    """Return the evacuated data centres."""
-    return getattr(fleet_view, "evacuated", frozenset())
-
-
 @dataclass
 class ColdState:
     """What is known of one target."""
@@ -120,7 +115,7 @@
 
     def update(self) -> None:
         """Find the targets that have become cold by a change of the fleet's state."""
-        evacuated = get_evacuated(self.fleet_view)
+        evacuated = self.fleet_view.evacuated
         returned_data_centres = self.evacuated - evacuated
         self.evacuated = evacuated
         now_s = self.get_time_s()
--- a/tests/relay/test_cold_replay.py
+++ b/tests/relay/test_cold_replay.py
@@ -79,6 +79,7 @@
         """Time of the last contact with the leader, if it is lost."""
         self.view = SimpleNamespace(
             targets=TargetTable(1.2),
+            evacuated=frozenset(),
             configuration=RoutingConfiguration(1, (), (service,), Limits(), ()),
             weight_versions={},
             assignments={make_assignment_key(SERVICE): "h0"},
