Relay: one sending to a target is a class of its own

Change: TargetAttempt sends, checks the head, reads the body and releases the target; RelayRun keeps the turns, the failures and the delivery. No behaviour changes.

--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -3,40 +3,27 @@
 from __future__ import annotations
 
 from ..errors import (
-    MalformedAnswerError,
     NoTargetError,
     OverloadedError,
     TargetError,
     TargetRefusedError,
 )
 from ..fleet.messages import TargetRecord
-from ..transport.http_client import HttpAnswer
 from ..transport.http_server import Headers, Responder
-from .answer_checks import (
-    NOT_RUN_STATUSES,
-    check_answer,
-    is_own_refusal,
-    raise_not_run,
-    states_leaving,
-)
+from .answer_checks import NOT_RUN_STATUSES
 from .answer_deadlines import AnswerDeadlines
 from .configuration import STREAMING, RoutingConfiguration
 from .request import AdmittedRequest, FallbackAnswer
 from .services import RelayServices
 from .stream_binding import StreamBinding
 from .stream_relay import StreamRelay
-from .target_sender import TargetSender
-from .timeouts import get_gap_timeout_s, get_start_timeout_s
+from .target_attempt import TargetAttempt
+from .timeouts import get_gap_timeout_s
 
 MAX_REJECTIONS = 3
 """Number of targets that may reject a request or be unreachable before the request is
 refused."""
 
-MAX_READ_SHARE = 0.5
-"""Share of the remaining time for an answer of unknown length, while another target can
-be tried."""
-
-SUCCESS_STATUSES = range(200, 300)
 MIN_SERVER_ERROR_STATUS = 500
 
 
@@ -64,7 +51,8 @@
             self.count_runs_left,
             lambda: self.binding.build,
         )
-        self.sender = TargetSender(services, self.deadlines)
+        self.attempt: TargetAttempt | None = None
+        """The last sending of the request."""
         self.excluded: set[str] = set()
         """Targets that failed or rejected the request."""
         self.may_have_run = False
@@ -151,105 +139,50 @@
         Raises:
             TargetError: If the target failed or rejected the request.
         """
-        services = self.services
-        self.sent_s = sent_s = services.get_time_s()
-        self.is_prefill_pending = True
         self.deadlines.start(target, self.admitted, self.excluded)
-        answer = None
+        self.attempt = TargetAttempt(
+            self.services, target, self.admitted, self.deadlines
+        )
         try:
-            answer = await self.sender.send(
-                target,
-                self.admitted,
-                resume_after=self.stream.last_event_id,
-                is_retry_allowed=self.is_retry_allowed(),
-                is_rejected=self.rejections > 0,
-                is_bound=bool(self.binding.build),
-            )
-            await self.handle_answer(target, answer)
-            ended_s = services.get_time_s()
-            services.statistics.record_success(target, ended_s - sent_s)
-            services.crash_reports.record_completed(self.admitted)
-            if self.first_event_s is not None:
-                tokens = self.admitted.metadata.output_tokens
-                duration_s = ended_s - max(sent_s, self.first_event_s)
-                services.statistics.record_generation(target, tokens, duration_s)
+            await self.open(self.attempt)
+            await self.deliver_answer(self.attempt)
+            self.attempt.record_completed(self.first_event_s)
         except TargetError as error:
             if not error.sent:
-                services.planner.cancel_saves(self.admitted, self.sender.context)
+                self.attempt.cancel_saves()
             raise
         finally:
-            if answer is not None:
-                answer.close()
-            if self.is_prefill_pending:
-                services.dispatcher.record_prefill_end(target, self.admitted, None)
-            services.dispatcher.release(target, self.admitted)
+            self.attempt.close()
 
-    async def handle_answer(self, target: TargetRecord, answer: HttpAnswer) -> None:
-        """Check an answer and deliver it.
+    async def open(self, attempt: TargetAttempt) -> None:
+        """Send the request to an attempt's target and check the head of its answer.
 
         Raises:
-            TargetError: If the answer may not be delivered.
+            TargetError: If there is no answer that may be delivered.
         """
-        services = self.services
-        self.deadlines.release_reserved()
-        metadata = services.translator.read_answer(answer.status, answer.headers)
-        answer.deadline_s = self.deadlines.choose_deadline_s(
-            get_start_timeout_s(self.route)
+        await attempt.open(
+            resume_after=self.stream.last_event_id,
+            is_retry_allowed=self.is_retry_allowed(),
+            is_rejected=self.rejections > 0,
+            is_bound=bool(self.binding.build),
         )
-        request_id = self.admitted.metadata.request_id
-        if states_leaving(metadata, target.target_id):
-            services.record_leaving(target)
-        if is_own_refusal(metadata, request_id, answer.is_first):
-            if metadata.retry_after_s is not None:
-                services.record_shedding(target, metadata.retry_after_s)
-            await self.drain_rejection(answer)
-            raise_not_run(
-                services.statistics,
-                target,
-                metadata,
-                self.admitted.metadata.model,
-                services.fleet_view.weight_versions,
-            )
-        check_answer(metadata, request_id)
-        if answer.status not in SUCCESS_STATUSES:
-            await self.handle_error_answer(answer)
-            return
-        if not metadata.is_sealed:
-            raise MalformedAnswerError("the answer is a success without a seal")
-        if metadata.weight_version is not None:
-            model = self.admitted.metadata.model
-            services.statistics.record_version(target, model, metadata.weight_version)
-        if self.route.kind == STREAMING:
-            await self.deliver_stream(target, answer)
-        else:
-            body = await self.read_body(answer)
-            await self.deliver(answer.status, answer.headers, body)
 
-    async def read_body(self, answer: HttpAnswer) -> bytes:
-        """Return the complete body; each part that arrives leaves time for the next.
-
-        A body of unknown length may have no end, so it leaves time for another target.
+    async def deliver_answer(self, attempt: TargetAttempt) -> None:
+        """Deliver an answer whose head was checked.
 
         Raises:
-            TargetError: If the body is truncated, too large or stalls.
+            TargetError: If it breaks off, or another target may succeed.
         """
-        timeout_s = get_start_timeout_s(self.route)
-        end_s = self.deadlines.deadline_s
-        if not answer.has_length:
-            end_s = self.deadlines.choose_deadline_s(self.remaining_s * MAX_READ_SHARE)
-        return await answer.read(
-            lambda: min(end_s, self.deadlines.choose_deadline_s(timeout_s))
-        )
-
-    async def drain_rejection(self, answer: HttpAnswer) -> None:
-        """Read a rejection to its end, so that its connection can be reused."""
-        answer.set_final_deadline(answer.deadline_s)
-        try:
-            await self.read_body(answer)
-        except TargetError as error:
-            self.services.log.debug("rejection_cut", detail=error.detail)
+        answer = attempt.answer
+        if not attempt.is_success:
+            await self.handle_error_answer(attempt)
+        elif self.route.kind == STREAMING:
+            await self.deliver_stream(attempt)
+        else:
+            body = await attempt.read_body()
+            await self.deliver(answer.status, answer.headers, body)
 
-    async def handle_error_answer(self, answer: HttpAnswer) -> None:
+    async def handle_error_answer(self, attempt: TargetAttempt) -> None:
         """Deliver a target's error answer, or keep it as fallback before a retry.
 
         Raises:
@@ -257,7 +190,8 @@
                 beginning of a stream, or if the status states that the request has not
                 run without the target confirming it.
         """
-        body = await self.read_body(answer)
+        answer = attempt.answer
+        body = await attempt.read_body()
         if self.responder.has_started:
             raise TargetError(f"the stream broke off, its rest is {answer.status}")
         if answer.status in NOT_RUN_STATUSES:
@@ -278,18 +212,19 @@
             self.fallback.status, self.fallback.headers, self.fallback.body
         )
 
-    async def deliver_stream(self, target: TargetRecord, answer: HttpAnswer) -> None:
+    async def deliver_stream(self, attempt: TargetAttempt) -> None:
         """Send events to the client as they arrive.
 
         Raises:
             TargetError: If the stream breaks before its end, or stalls.
         """
+        target, answer = attempt.target, attempt.answer
         headers = self.services.make_answer_headers(answer.headers)
         gap_timeout_s = get_gap_timeout_s(self.route)
         self.binding.check_incarnation(target)
         self.stream.on_start = lambda: self.begin_stream(target)
         async for _ in self.stream.deliver(answer, headers):
-            self.record_event(target)
+            self.record_event(attempt)
             self.binding.check_progress(target)
             answer.deadline_s = self.deadlines.choose_deadline_s(gap_timeout_s)
 
@@ -301,14 +236,11 @@
         self.fallback = None
         self.binding.begin(target)
 
-    def record_event(self, target: TargetRecord) -> None:
+    def record_event(self, attempt: TargetAttempt) -> None:
         """Record that an event of a stream has arrived, which ends the prefill."""
         services = self.services
-        self.deadlines.release_reserved()
-        if self.is_prefill_pending:
-            self.is_prefill_pending = False
-            duration_s = services.get_time_s() - self.sent_s
-            services.dispatcher.record_prefill_end(target, self.admitted, duration_s)
+        attempt.deadlines.release_reserved()
+        attempt.end_prefill()
         if self.first_event_s is None:
             self.first_event_s = services.get_time_s()
             services.record_first_event(self.first_event_s - self.started_s)
@@ -383,7 +315,7 @@
         self.may_have_run = True
         self.possible_runs += 1
         if error.has_died:
-            has_begun = not self.is_prefill_pending
+            has_begun = not self.attempt.is_prefill_pending
             services.crash_reports.start_report(self.admitted, target, has_begun)
         self.stream.discard_pending()
         self.may_retry = self.has_retry_left() and services.try_spend_retry(
