Repeated sends: the decision, the quantiles and the race between two sends

Change: HedgedSend races a second target against a late first one, within the policy of policy/hedging.py. Off by default: without a share no race is made.

--- a/src/laburnumpitch/fleet_relay.py
+++ b/src/laburnumpitch/fleet_relay.py
@@ -28,6 +28,7 @@
 from .relay.incarnation_check import IncarnationCheck
 from .relay.placement_client import PlacementClient
 from .relay.relay_api import RelayApi
+from .relay.repeated_sends import make_repeated_sends
 from .relay.retry_limiter import RetryLimiter
 from .relay.services import RelayServices
 from .relay.stream_origins import StreamOrigins
@@ -100,6 +101,7 @@
             leader_client,
             metrics,
             get_time_s,
+            make_repeated_sends(settings.repeated_sends_share, metrics, get_time_s),
         )
         self.api = RelayApi(self.services, random_source)
 
--- a/src/laburnumpitch/metrics.py
+++ b/src/laburnumpitch/metrics.py
@@ -36,6 +36,13 @@
     Metric("request.resumed", "counter", "streams", "Broken streams resumed."),
     Metric("request.first_token", "timing", "s", "Time to first token."),
     Metric("request.duration", "timing", "s", "Arrival to complete answer."),
+    Metric(
+        "hedge.sent", "counter", "attempts", "Late requests sent to a second target."
+    ),
+    Metric("hedge.won", "counter", "attempts", "Of these, answered there first."),
+    Metric(
+        "hedge.suppressed", "counter", "requests", "Late requests not sent to a second."
+    ),
     Metric("request.inflight", "gauge", "requests", "Requests in flight."),
     Metric("request.queued", "gauge", "requests", "Requests waiting for admission."),
     Metric("context.recomputed", "counter", "tokens", "Context tokens recomputed."),
--- a/src/laburnumpitch/platform/settings_file.py
+++ b/src/laburnumpitch/platform/settings_file.py
@@ -117,6 +117,8 @@
     """Time after which a VM that has started replaces a lost one."""
     drain_s: float = DRAIN_S
     """Time for which a target that is leaving still serves."""
+    repeated_sends_share: float = 0.0
+    """Late requests sent to a second target, at most, for each request; 0 for none."""
 
 
 def get_host(address: str) -> str:
--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -13,6 +13,7 @@
 from .answer_checks import NOT_RUN_STATUSES
 from .answer_deadlines import AnswerDeadlines
 from .configuration import STREAMING, RoutingConfiguration
+from .hedged_send import HedgedSend
 from .request import AdmittedRequest, FallbackAnswer
 from .services import RelayServices
 from .stream_binding import StreamBinding
@@ -53,6 +54,10 @@
         )
         self.attempt: TargetAttempt | None = None
         """The last sending of the request."""
+        self.hedged_send: HedgedSend | None = None
+        """The sending in progress, if it may use a second target."""
+        if services.repeated_sends is not None and self.route.is_retryable:
+            services.repeated_sends.record_request()
         self.excluded: set[str] = set()
         """Targets that failed or rejected the request."""
         self.may_have_run = False
@@ -68,13 +73,22 @@
         self.fallback: FallbackAnswer | None = None
         self.stream = StreamRelay(responder, self.route.is_resumable)
         self.first_event_s: float | None = None
-        self.last_target_id = ""
 
     @property
     def remaining_s(self) -> float:
         """Time left until the request has to be answered."""
         return self.deadlines.remaining_s
 
+    @property
+    def build(self) -> str:
+        """Build that every further target must have; empty for any."""
+        return self.binding.build
+
+    @property
+    def last_target_id(self) -> str:
+        """The target that had the request last; empty before the first one."""
+        return "" if self.attempt is None else self.attempt.target.target_id
+
     async def serve(self) -> None:
         """Send the request to targets in turn until it is answered.
 
@@ -103,14 +117,13 @@
                 if self.may_have_run:
                     raise TargetError("a target failed, no other is left") from error
                 raise
-            self.last_target_id = target.target_id
             try:
                 await self.send(target)
                 return
             except TargetRefusedError as error:
-                self.handle_rejection(target, error)
+                self.handle_rejection(self.attempt.target, error)
             except TargetError as error:
-                self.handle_failure(target, error)
+                self.handle_failure(self.attempt, error)
             may_retry = self.may_retry and self.has_retry_left()
             if self.fallback is not None and not may_retry:
                 await self.deliver_fallback()
@@ -144,7 +157,7 @@
             self.services, target, self.admitted, self.deadlines
         )
         try:
-            await self.open(self.attempt)
+            await self.open_attempt()
             await self.deliver_answer(self.attempt)
             self.attempt.record_completed(self.first_event_s)
         except TargetError as error:
@@ -154,6 +167,30 @@
         finally:
             self.attempt.close()
 
+    async def open_attempt(self) -> None:
+        """Send the request, and maybe to a second target while the first one is late.
+
+        `attempt` is then the one whose answer may be delivered, or the last to fail.
+
+        Raises:
+            TargetError: If there is no answer that may be delivered.
+        """
+        repeated_sends = self.services.repeated_sends
+        if (
+            repeated_sends is None
+            or self.responder.has_started
+            or not self.count_runs_left()
+        ):
+            await self.open(self.attempt)
+            return
+        self.hedged_send = HedgedSend(self.services, repeated_sends, self, self.attempt)
+        try:
+            await self.hedged_send.open()
+        finally:
+            self.attempt = self.hedged_send.last
+            self.deadlines = self.attempt.deadlines
+            self.hedged_send = None
+
     async def open(self, attempt: TargetAttempt) -> None:
         """Send the request to an attempt's target and check the head of its answer.
 
@@ -259,7 +296,8 @@
 
     def count_runs_left(self) -> int:
         """Return the number of further targets that may run the request."""
-        if not self.is_retry_allowed():
+        is_at_two = self.hedged_send is not None and self.hedged_send.has_two
+        if is_at_two or not self.is_retry_allowed():
             return 0
         return max(0, self.route.max_targets - self.possible_runs - 1)
 
@@ -272,15 +310,19 @@
             and not self.services.crash_reports.is_suspect(self.admitted)
         )
 
+    def record_rejection(self, target: TargetRecord, error: TargetRefusedError) -> None:
+        """Exclude a target that certainly did not run the request."""
+        self.excluded.add(target.target_id)
+        self.rejections += 1
+        self.services.log_outcome("rejected", self.admitted, target, error)
+
     def handle_rejection(self, target: TargetRecord, error: TargetRefusedError) -> None:
-        """Exclude a target that certainly did not run the request.
+        """Go on after a target that certainly did not run the request.
 
         Raises:
             LaburnumpitchError: If no other target may be tried.
         """
-        self.excluded.add(target.target_id)
-        self.rejections += 1
-        self.services.log_outcome("rejected", self.admitted, target, error)
+        self.record_rejection(target, error)
         is_allowed = (
             self.rejections <= MAX_REJECTIONS
             and self.services.try_spend_retry(self.admitted.service)
@@ -291,15 +333,10 @@
             raise TargetError("a target failed, and another rejected the request")
         raise OverloadedError("targets rejected the request")
 
-    def handle_failure(self, target: TargetRecord, error: TargetError) -> None:
-        """Record a failed target and exclude it.
-
-        Raises:
-            LaburnumpitchError: If no other target may be tried.
-        """
-        services = self.services
-        is_late = self.remaining_s <= 0
-        if not is_late or not error.sent:
+    def record_failure(self, attempt: TargetAttempt, error: TargetError) -> None:
+        """Record a failed target and exclude it."""
+        services, target = self.services, attempt.target
+        if self.remaining_s > 0 or not error.sent:
             services.statistics.record_failure(target, error.is_unreachable)
             if error.is_unreachable:
                 services.report_unreachable(target)
@@ -307,18 +344,36 @@
         self.excluded.add(target.target_id)
         if not error.sent:
             self.rejections += 1
+            return
+        self.may_have_run = True
+        self.possible_runs += 1
+        if error.has_died:
+            has_begun = not attempt.is_prefill_pending
+            services.crash_reports.start_report(self.admitted, target, has_begun)
+
+    def record_abandoned(self, attempt: TargetAttempt) -> None:
+        """Record a target from which the request was taken back."""
+        if attempt.sender.written_s is not None:
+            self.excluded.add(attempt.target.target_id)
+            self.may_have_run = True
+            self.possible_runs += 1
+
+    def handle_failure(self, attempt: TargetAttempt, error: TargetError) -> None:
+        """Go on after a failed target.
+
+        Raises:
+            LaburnumpitchError: If no other target may be tried.
+        """
+        is_late = self.remaining_s <= 0
+        self.record_failure(attempt, error)
+        if not error.sent:
             if self.rejections <= MAX_REJECTIONS and not is_late:
                 return
             if self.may_have_run:
                 raise TargetError("a target failed, and others are unreachable")
             raise NoTargetError("targets are unreachable")
-        self.may_have_run = True
-        self.possible_runs += 1
-        if error.has_died:
-            has_begun = not self.attempt.is_prefill_pending
-            services.crash_reports.start_report(self.admitted, target, has_begun)
         self.stream.discard_pending()
-        self.may_retry = self.has_retry_left() and services.try_spend_retry(
+        self.may_retry = self.has_retry_left() and self.services.try_spend_retry(
             self.admitted.service
         )
         if not self.may_retry and self.fallback is None:
--- a/src/laburnumpitch/relay/services.py
+++ b/src/laburnumpitch/relay/services.py
@@ -17,6 +17,7 @@
 from .dispatcher import Dispatcher
 from .incarnation_check import IncarnationCheck
 from .leader_notices import LeaderNotices
+from .repeated_sends import RepeatedSends
 from .request import AdmittedRequest, Translator
 from .retry_limiter import RetryLimiter
 from .stream_origins import StreamOrigins
@@ -41,6 +42,7 @@
         leader_client: Finds and calls the leader.
         metrics: Records measurements.
         get_time_s: Monotonic time.
+        repeated_sends: Requests that are sent to a second target; None if none are.
     """
 
     def __init__(
@@ -56,6 +58,7 @@
         leader_client: LeaderClient,
         metrics: Metrics,
         get_time_s: Callable[[], float],
+        repeated_sends: RepeatedSends | None = None,
     ) -> None:
         self.fleet_view = fleet_view
         self.dispatcher = dispatcher
@@ -67,6 +70,7 @@
         self.incarnation_check = incarnation_check
         self.metrics = metrics
         self.get_time_s = get_time_s
+        self.repeated_sends = repeated_sends
         self.clients = HttpClientPool()
         self.notices = LeaderNotices(leader_client)
         self.crash_reports = CrashReports(
--- a/src/laburnumpitch/relay/shedding_targets.py
+++ b/src/laburnumpitch/relay/shedding_targets.py
@@ -56,6 +56,11 @@
         periods = [self.periods.get((t.target_id, t.born_ms)) for t in targets]
         return [targets[i] for i in find_usable(periods, self.get_time_s())]
 
+    def is_shedding(self, target: TargetRecord) -> bool:
+        """Whether a target asks for no requests now."""
+        period = self.periods.get((target.target_id, target.born_ms))
+        return period is not None and period.end_s > self.get_time_s()
+
     def drop_ended(self) -> None:
         """Drop the periods that have ended."""
         now_s = self.get_time_s()
--- a/src/laburnumpitch/relay/target_attempt.py
+++ b/src/laburnumpitch/relay/target_attempt.py
@@ -12,6 +12,7 @@
     states_leaving,
 )
 from .answer_deadlines import AnswerDeadlines
+from .event_stream import MAX_EVENT_BYTES, EventSplitter
 from .request import AdmittedRequest
 from .services import RelayServices
 from .target_sender import TargetSender
@@ -116,6 +117,24 @@
         if metadata.weight_version is not None:
             services.statistics.record_version(target, model, metadata.weight_version)
 
+    async def read_first_event(self) -> None:
+        """Wait for the first event of a stream, without consuming it.
+
+        Raises:
+            TargetError: If the stream breaks before it, or inside it.
+        """
+        answer, splitter, parts = self.answer, EventSplitter(), []
+        async for data in answer.iterate_body():
+            parts.append(data)
+            splitter.feed(data)
+            is_large = sum(map(len, parts)) > MAX_EVENT_BYTES
+            if splitter.last_event_id or is_large:
+                break
+        if answer.is_complete and not splitter.last_event_id:
+            if splitter.pending.strip() or not (parts or answer.is_framed):
+                raise TargetError("the stream ended before its first event")
+        answer.unread_parts = parts
+
     async def read_body(self) -> bytes:
         """Return the complete body; each part that arrives leaves time for the next.
 
--- a/src/laburnumpitch/relay/target_sender.py
+++ b/src/laburnumpitch/relay/target_sender.py
@@ -34,6 +34,8 @@
         self.deadlines = deadlines
         self.context: ContextPlan | None = None
         """Where the last target reads and saves kept context."""
+        self.written_s: float | None = None
+        """When the first byte of the request was written; None before that."""
 
     async def send(
         self,
@@ -74,9 +76,15 @@
         elif is_retry_allowed:
             max_idle_s = MAX_IDLE_RETRYABLE_S
         path = f"{request.path}?{request.query}" if request.query else request.path
-        before_write = None
+        check_incarnation = None
         if is_bound and services.dispatcher.catalog.get_engine_spec(target.service):
-            before_write = await services.incarnation_check.confirm(target)
+            check_incarnation = await services.incarnation_check.confirm(target)
+
+        def before_write() -> None:
+            if check_incarnation is not None:
+                check_incarnation()
+            self.written_s = services.get_time_s()
+
         return await services.clients.get(target.address).request(
             request.method,
             path,
--- a/src/laburnumpitch/transport/http_client.py
+++ b/src/laburnumpitch/transport/http_client.py
@@ -104,6 +104,8 @@
         self.deadline_s = deadline_s
         self.is_complete = False
         self.is_closed = False
+        self.unread_parts: list[bytes] = []
+        """Parts of the body that `iterate_body` yields again."""
         self.is_first = connection.answer_count == 1
         """Whether no other request was sent on the connection before."""
 
@@ -124,7 +126,9 @@
         Raises:
             TargetError: If the answer is truncated, times out or is too large.
         """
-        while True:
+        while self.unread_parts:
+            yield self.unread_parts.pop(0)
+        while not self.is_complete:
             gap_deadline_s = time.monotonic() + self.gap_timeout_s
             event = await self.connection.receive_event(
                 min(self.deadline_s, gap_deadline_s)
@@ -133,7 +137,6 @@
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self.is_complete = True
-                return
             else:
                 raise TargetError("answer truncated", has_died=True)
 
