--- a/harness/reference.py
+++ b/harness/reference.py
@@ -11,6 +11,11 @@
 from laburnumpitch.control.document import SCHEMAS
 from laburnumpitch.errors import get_error_classes
 from laburnumpitch.metrics import METRICS
+from laburnumpitch.serve_command import (
+    MAX_REPEATED_SENDS_SHARE,
+    REPEATED_SENDS_ENV_VARIABLE,
+    SETTINGS_ENV_VARIABLE,
+)
 from laburnumpitch.settings import INIT_SETTINGS, NODE_SETTINGS, OPERATOR_SETTINGS
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -21,6 +26,18 @@
 )
 """Matches the event name in a call that logs an event."""
 
+SERVE_ROWS = [
+    ("`--settings`", f"`{SETTINGS_ENV_VARIABLE}`", "``", "path of the settings file"),
+    (
+        "`--repeated-sends-share`",
+        f"`{REPEATED_SENDS_ENV_VARIABLE}`",
+        "`0`",
+        "late requests that may be sent to a second target, for each request, from 0 "
+        f"to {MAX_REPEATED_SENDS_SHARE:g}; 0 for none",
+    ),
+]
+"""Settings of `laburnumpitch serve` besides the settings file."""
+
 GENERATED_NOTE = "This page is written by `make reference` and checked in CI.\n"
 
 
@@ -45,6 +62,8 @@
         ]
         parts.append(f"## {title}\n")
         parts.append(make_table(("flag", "variable", "default", "meaning"), rows))
+    parts.append("## laburnumpitch serve\n")
+    parts.append(make_table(("flag", "variable", "default", "meaning"), SERVE_ROWS))
     return "\n".join(parts)
 
 
--- a/harness/soak/__main__.py
+++ b/harness/soak/__main__.py
@@ -45,6 +45,10 @@
 """Part of a run in which all kinds of faults occur; only planned ones follow."""
 
 
+SLOW_SHARE = 0.05
+"""Share of the requests that targets are slow to answer, with repeated sends."""
+
+
 @dataclass(frozen=True)
 class SoakOptions:
     """Fleet size, request rate and fault rate of a run."""
@@ -55,6 +59,9 @@
     fault_interval_s: float = 1.5
     change_interval_s: float = 0.7
     unplanned_share: float = UNPLANNED_SHARE
+    repeated_sends_share: float = 0.0
+    """Late requests that are sent to a second target, at most; targets are then slow
+    for a share of the requests."""
 
 
 async def run_soak(
@@ -64,9 +71,17 @@
     rng = random.Random(seed)
     proxy = FaultProxy(seed)
     proxy.start()
-    fleet = SoakFleet(options.nodes, options.disk_nodes, make_run_folder())
+    fleet = SoakFleet(
+        options.nodes,
+        options.disk_nodes,
+        make_run_folder(),
+        options.repeated_sends_share,
+    )
     journal = Journal()
     targets = make_targets(fleet, journal, seed)
+    if options.repeated_sends_share:
+        for target in targets:
+            target.slow_share = SLOW_SHARE
     try:
         fleet.start()
         for target in targets:
@@ -86,6 +101,8 @@
         history, injector = await run_phases(
             fleet, operator, clients, injector, journal, seconds, options
         )
+        hedged = " ".join(f"{k}={n}" for k, n in fleet.count_hedged().items())
+        print(f"seed={seed} second sends: {hedged or 0}", flush=True)
         has_violation = any(verdict.violations for verdict in check_all(history))
     finally:
         for target in targets:
@@ -208,8 +225,18 @@
         action="store_true",
         help="restarts, reloads, releases and changes only, in quick succession",
     )
+    parser.add_argument(
+        "--repeated-sends-share",
+        type=float,
+        default=SoakOptions.repeated_sends_share,
+        help="late requests that nodes send to a second target, for each request",
+    )
     arguments = parser.parse_args()
-    options = SoakOptions(arguments.nodes, arguments.disks)
+    options = SoakOptions(
+        arguments.nodes,
+        arguments.disks,
+        repeated_sends_share=arguments.repeated_sends_share,
+    )
     if arguments.planned_only:
         options = replace(
             options,
--- a/harness/soak/fleet.py
+++ b/harness/soak/fleet.py
@@ -7,6 +7,7 @@
 import shutil
 import signal
 import time
+from collections import Counter
 from pathlib import Path
 
 from ..ports import release_ports, reserve_port
@@ -34,13 +35,16 @@
         host: The node's address.
         settings: Path of its settings file.
         folder: Folder of its output.
+        arguments: Further arguments of its command line.
     """
 
-    def __init__(self, host: str, settings: Path, folder: Path) -> None:
+    def __init__(
+        self, host: str, settings: Path, folder: Path, arguments: list[str]
+    ) -> None:
         super().__init__(host, ["-m", "laburnumpitch", "serve"], folder)
         self.host = host
         self.settings = settings
-        self.arguments += ["--settings", str(settings)]
+        self.arguments += ["--settings", str(settings), *arguments]
         self.started_s = time.monotonic()
         self.last_fault_s = float("-inf")
         """When a fault last began or ended at this node."""
@@ -63,13 +67,21 @@
         node_count: Number of nodes.
         disk_node_count: Number of nodes with a disk.
         folder: Folder for settings, output and data.
+        repeated_sends_share: Late requests that are sent to a second target, at most.
     """
 
-    def __init__(self, node_count: int, disk_node_count: int, folder: Path) -> None:
+    def __init__(
+        self,
+        node_count: int,
+        disk_node_count: int,
+        folder: Path,
+        repeated_sends_share: float = 0.0,
+    ) -> None:
         hosts = make_hosts(node_count + MAX_REPLACEMENTS)
         self.hosts, self.spare_hosts = hosts[:node_count], hosts[node_count:]
         self.disk_node_count = disk_node_count
         self.folder = folder
+        self.arguments = ["--repeated-sends-share", str(repeated_sends_share)]
         self.ports = [reserve_port() for _ in range(5)]
         self.client_port, self.ready_port, self.control_port = self.ports[:3]
         self.rpc_port = self.ports[4]
@@ -82,7 +94,7 @@
         """Start all nodes at once."""
         for host in self.hosts:
             path = self.folder / f"{host}.toml"
-            self.nodes[host] = NodeProcess(host, path, self.folder)
+            self.nodes[host] = NodeProcess(host, path, self.folder, self.arguments)
             self.write_settings(host, is_bootstrap=True)
         for node in self.nodes.values():
             node.start()
@@ -159,7 +171,7 @@
         new_host = self.spare_hosts.pop(0)
         self.hosts[self.hosts.index(host)] = new_host
         path = self.folder / f"{new_host}.toml"
-        self.nodes[new_host] = NodeProcess(new_host, path, self.folder)
+        self.nodes[new_host] = NodeProcess(new_host, path, self.folder, self.arguments)
         del self.nodes[host]
         self.restart(new_host)
         return new_host
@@ -184,6 +196,15 @@
         node.signal(signal.SIGHUP)
         return True
 
+    def count_hedged(self) -> Counter[str]:
+        """Return the number of requests sent to a second target, by outcome."""
+        found: Counter[str] = Counter()
+        for path in self.folder.glob("*.out"):
+            for line in path.read_text(errors="replace").splitlines():
+                if "event=request_hedged " in line:
+                    found[line.rpartition("outcome=")[2].split()[0]] += 1
+        return found
+
     def list_control_addresses(self) -> list[str]:
         """Return the control addresses of all nodes."""
         return [f"{host}:{self.control_port}" for host in self.hosts]
--- a/src/laburnumpitch/policy/hedging.py
+++ b/src/laburnumpitch/policy/hedging.py
@@ -24,7 +24,7 @@
 WINDOW_S = 10.0
 """Length of the sliding window in which requests and second sends are counted."""
 
-RECENT_S = 2.0
+RECENT_S = 0.5
 """Age up to which an answer tells whether other targets are slow now."""
 
 MAX_LATE_SHARE = 0.25
--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -353,7 +353,10 @@
 
     def record_abandoned(self, attempt: TargetAttempt) -> None:
         """Record a target from which the request was taken back."""
-        if attempt.sender.written_s is not None:
+        written_s = attempt.sender.written_s
+        if written_s is not None:
+            age_s = self.services.get_time_s() - written_s
+            self.services.statistics.record_abandoned(attempt.target, age_s)
             self.excluded.add(attempt.target.target_id)
             self.may_have_run = True
             self.possible_runs += 1
--- a/src/laburnumpitch/relay/target_statistics.py
+++ b/src/laburnumpitch/relay/target_statistics.py
@@ -147,6 +147,15 @@
         stats.backoff_until_s = 0.0
         stats.last_success_s = self.get_time_s()
 
+    def record_abandoned(self, target: TargetRecord, age_s: float) -> None:
+        """Record a request that was taken back while it was late.
+
+        It would have taken longer. Without it, a slow target would look idle and as
+        fast as before, and get more requests.
+        """
+        stats = self.get(target.target_id)
+        stats.service_s += max(0.0, age_s - stats.service_s) * DURATION_WEIGHT
+
     def record_generation(
         self, target: TargetRecord, tokens: int, duration_s: float
     ) -> None:
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -34,6 +34,9 @@
 EVENT_INTERVAL_S = 0.01
 """Base time between two events of a stream, multiplied by a factor from 0.5 to 2."""
 
+SLOW_S = 0.6
+"""Delay of an answer that is slow; less than after which a node leaves the target."""
+
 WEIGHT_LOAD_S = 0.3
 """Duration of a weight load."""
 
@@ -153,6 +156,8 @@
         """Whether it refuses all requests as if it were full, at any load."""
         self.failure_share = 0.0
         """Share of requests that it runs and answers with status 500."""
+        self.slow_share = 0.0
+        """Share of requests whose answer begins `SLOW_S` later."""
         self.says_leaving = False
         """Whether it says in all its answers that it is leaving."""
         self.deadly_piece = ""
@@ -358,6 +363,8 @@
             headers.append(("weight-versions", str(self.version)))
         self.running_requests += 1
         try:
+            if self.slow_share and self.random.random() < self.slow_share:
+                await asyncio.sleep(SLOW_S)
             if self.random.random() < self.failure_share:
                 await responder.send(500, headers, b"failed")
             elif self.has_weights:
