--- a/harness/soak/checks.py
+++ b/harness/soak/checks.py
@@ -18,6 +18,7 @@
 from .request_record import RequestRecord
 from .soak_history import FAULT_RECOVERY_S, SoakHistory
 from .stream_checks import check_builds, check_streams, check_take_ups
+from .work_checks import check_work
 
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 """Statuses that promise that a request has not run and will not run."""
@@ -65,6 +66,7 @@
         check_reads(history.operator),
         check_holders(history.journal),
         check_planned_stops(history),
+        check_work(history),
         check_recovery(history),
     ]
 
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -34,8 +34,8 @@
 EVENT_INTERVAL_S = 0.01
 """Base time between two events of a stream, multiplied by a factor from 0.5 to 2."""
 
-SLOW_S = 0.6
-"""Delay of an answer that is slow; less than after which a node leaves the target."""
+SLOW_S = 1.2
+"""Delay of an answer that is slow; work that nobody ends is seen by it."""
 
 WEIGHT_LOAD_S = 0.3
 """Duration of a weight load."""
@@ -88,6 +88,15 @@
     """Version of the target's software."""
 
 
+@dataclass(frozen=True)
+class Work:
+    """The time in which a target worked on a request."""
+
+    attempt: str
+    target_id: str
+    ended_s: float
+
+
 @dataclass(frozen=True)
 class Order:
     """An order to load weights that reached an engine, accepted or not."""
@@ -114,6 +123,7 @@
 
     arrivals: list[Arrival] = field(default_factory=list)
     orders: list[Order] = field(default_factory=list)
+    works: list[Work] = field(default_factory=list)
     serving_periods: list[ServingPeriod] = field(default_factory=list)
     context_violations: list[str] = field(default_factory=list)
     """Uses of kept context that was made with other weights or across an isolation."""
@@ -375,6 +385,8 @@
                 await responder.send(200, headers, json.dumps(body).encode())
         finally:
             self.running_requests -= 1
+            work = Work(attempt, self.target_id, time.monotonic())
+            self.journal.works.append(work)
 
     async def stream_events(
         self, request: HttpRequest, responder: Responder, headers
--- a/tests/harness/test_soak.py
+++ b/tests/harness/test_soak.py
@@ -28,6 +28,7 @@
     Journal,
     Order,
     ServingPeriod,
+    Work,
 )
 
 SEED = 4
@@ -167,6 +168,17 @@
                 "history": make_history([], [make_arrival()]),
             },
         ),
+        (
+            "works_on_after_the_answer",
+            {
+                "name": "no_work_for_nobody",
+                "history": make_history(
+                    [make_record()],
+                    [],
+                    journal=make_journal(works=[Work(ATTEMPT_ID, "t1", 11.1)]),
+                ),
+            },
+        ),
         (
             "refused_and_ran",
             {
--- a/tests/relay/test_hedged_send.py
+++ b/tests/relay/test_hedged_send.py
@@ -10,6 +10,7 @@
 
 from laburnumpitch.errors import TargetError
 from laburnumpitch.relay.repeated_sends import RepeatedSends
+from laburnumpitch.relay.second_target import make_late_copy
 
 from .relay_case import (
     CONFIGURATION,
@@ -395,6 +396,22 @@
         self.run_relay([[first], [SECOND]], scenario)
 
 
+class LatePlacementTest(HedgeCase):
+    """The coordinator is asked for a second target."""
+
+    def test_smaller_backlog(self) -> None:
+        """It is used only if its backlog is smaller than for the first send."""
+
+        async def scenario() -> None:
+            make_call = self.services.dispatcher.make_place_call
+            admitted = self.make_admitted("resumed", 10)
+            first = make_call(admitted, frozenset(), "")
+            second = make_call(make_late_copy(admitted), frozenset(), "")
+            self.assertLess(second.max_backlog_s, first.max_backlog_s)
+
+        self.run_relay([[]], scenario)
+
+
 class BegunStreamTest(HedgeCase):
     """A stream is silent after its first event."""
 
