Repeated sends: two tests that passed without their guard

Cause: the non-idempotent routes of the test had no usual times, so that nothing could be late there; and a deadline of 4 s ended what a missing cancellation left. Change: usual times for all routes, a deadline that no test reaches.

--- a/tests/relay/test_hedged_send.py
+++ b/tests/relay/test_hedged_send.py
@@ -33,7 +33,9 @@
 LONG_PAUSE_S = 5.0
 """A pause after which an answer comes too late."""
 
-DEADLINE_MS = 4000
+DEADLINE_MS = 60_000
+"""A deadline that no test reaches: it would end what should be ended before."""
+
 FULL = 100
 ENOUGH_REQUESTS = 100
 
@@ -69,13 +71,13 @@
     async def start(self, scripts: list[list[Script]]) -> None:
         """Start targets and the relay."""
         await super().start(scripts)
-        routes = [replace(r, timeout_s=10.0) for r in CONFIGURATION.routes]
+        routes = [replace(r, timeout_s=60.0) for r in CONFIGURATION.routes]
         self.change_configuration(routes=tuple(routes))
         self.metrics = self.services.metrics
         sends = RepeatedSends(0.2, self.metrics, time.monotonic)
         self.services.repeated_sends = sends
         now_s = time.monotonic()
-        for route in ("read", "resumed"):
+        for route in ("read", "resumed", "once", "stream"):
             kind = sends.make_kind(self.make_admitted(route, 0))
             for number in range(ENOUGH_REQUESTS):
                 sends.policy.usual.record(kind, f"other{number}", USUAL_S, now_s)
