--- a/src/laburnumpitch/errors.py
+++ b/src/laburnumpitch/errors.py
@@ -241,16 +241,10 @@
     code = "target_refused"
 
 
-class TargetEvacuatedError(TargetError):
-    """A target's data centre was evacuated before the request was sent."""
-
-    code = "target_evacuated"
+class SendWithdrawnError(TargetError):
+    """A send was given up before its first byte; its target has not failed."""
 
-
-class ColdTargetError(TargetError):
-    """The target is cold, and the request has no valid grant to be sent there."""
-
-    code = "target_cold"
+    code = "send_withdrawn"
 
     def __init__(self, detail: str = "") -> None:
         super().__init__(detail, sent=False)
@@ -261,6 +255,18 @@
         return False
 
 
+class TargetEvacuatedError(SendWithdrawnError):
+    """A target's data centre was evacuated before the request was sent."""
+
+    code = "target_evacuated"
+
+
+class ColdTargetError(SendWithdrawnError):
+    """The target is cold, and the request has no valid grant to be sent there."""
+
+    code = "target_cold"
+
+
 class StreamBrokenError(TargetError):
     """A stream broke after its start and could not be resumed."""
 
--- a/src/laburnumpitch/fleet_relay.py
+++ b/src/laburnumpitch/fleet_relay.py
@@ -35,6 +35,7 @@
 from .relay.placement_explanation import PlacementExplanations
 from .relay.region_rules import RegionRules
 from .relay.relay_api import RelayApi
+from .relay.repeated_sends import make_repeated_sends
 from .relay.retry_limiter import RetryLimiter
 from .relay.services import RelayServices
 from .relay.stream_origins import StreamOrigins
@@ -121,6 +122,7 @@
             leader_client,
             metrics,
             get_time_s,
+            make_repeated_sends(settings.repeated_sends_share, metrics, get_time_s),
         )
         self.api = RelayApi(self.services, random_source)
         self.explanations = PlacementExplanations(self.coordinator, self.dispatcher)
--- a/src/laburnumpitch/platform/settings_file.py
+++ b/src/laburnumpitch/platform/settings_file.py
@@ -138,6 +138,8 @@
     """Requests that a cold target may get in a second, relative to its rate."""
     cold_slack: float = ColdBounds.slack
     """Further requests that a cold target may get in a second."""
+    repeated_sends_share: float = 0.0
+    """Late requests sent to a second target, at most, for each request; 0 for none."""
 
 
 def get_host(address: str) -> str:
--- a/src/laburnumpitch/relay/target_catalog.py
+++ b/src/laburnumpitch/relay/target_catalog.py
@@ -192,7 +192,7 @@
             TargetEvacuatedError: If it is.
         """
         if not self.select_in_service([target]):
-            raise TargetEvacuatedError(f"{target.data_centre} is evacuated", sent=False)
+            raise TargetEvacuatedError(f"{target.data_centre} is evacuated")
 
     def list_avoided_ids(
         self, service: str, build: str, allowed_regions: AllowedRegions
--- a/src/laburnumpitch/relay/target_sender.py
+++ b/src/laburnumpitch/relay/target_sender.py
@@ -34,6 +34,8 @@
         self.deadlines = deadlines
         self.context: ContextPlan | None = None
         """Where the last target reads and saves kept context."""
+        self.written_s: float | None = None
+        """When the first byte of the request was written; None before that."""
 
     async def send(
         self,
@@ -82,6 +84,7 @@
         def check_before_write() -> None:
             for check in checks:
                 check()
+            self.written_s = services.get_time_s()
 
         before_write = services.dispatcher.cold_sends.add_check(
             admitted, target, check_before_write
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -34,6 +34,9 @@
 EVENT_INTERVAL_S = 0.01
 """Base time between two events of a stream, multiplied by a factor from 0.5 to 2."""
 
+SLOW_S = 1.2
+"""Delay of an answer that is slow; work that nobody ends is seen by it."""
+
 WEIGHT_LOAD_S = 0.3
 """Duration of a weight load."""
 
@@ -86,6 +89,15 @@
     data_centre: str = ""
 
 
+@dataclass(frozen=True)
+class Work:
+    """The time in which a target worked on a request."""
+
+    attempt: str
+    target_id: str
+    ended_s: float
+
+
 @dataclass(frozen=True)
 class Order:
     """An order to load weights that reached an engine, accepted or not."""
@@ -113,6 +125,7 @@
 
     arrivals: list[Arrival] = field(default_factory=list)
     orders: list[Order] = field(default_factory=list)
+    works: list[Work] = field(default_factory=list)
     serving_periods: list[ServingPeriod] = field(default_factory=list)
     context_violations: list[str] = field(default_factory=list)
     """Uses of kept context that was made with other weights or across an isolation."""
@@ -156,6 +169,8 @@
         """Whether it refuses all requests as if it were full, at any load."""
         self.failure_share = 0.0
         """Share of requests that it runs and answers with status 500."""
+        self.slow_share = 0.0
+        """Share of requests whose answer begins `SLOW_S` later."""
         self.says_leaving = False
         """Whether it says in all its answers that it is leaving."""
         self.deadly_piece = ""
@@ -371,6 +386,8 @@
             headers.append(("weight-versions", str(self.version)))
         self.running_requests += 1
         try:
+            if self.slow_share and self.random.random() < self.slow_share:
+                await asyncio.sleep(SLOW_S)
             if self.random.random() < self.failure_share:
                 await responder.send(500, headers, b"failed")
             elif self.has_weights:
@@ -381,6 +398,8 @@
                 await responder.send(200, headers, json.dumps(body).encode())
         finally:
             self.running_requests -= 1
+            work = Work(attempt, self.target_id, time.monotonic())
+            self.journal.works.append(work)
 
     async def stream_events(
         self, request: HttpRequest, responder: Responder, headers
