--- a/harness/soak/fleet.py
+++ b/harness/soak/fleet.py
@@ -188,6 +188,16 @@
         """Return the control addresses of all nodes."""
         return [f"{host}:{self.control_port}" for host in self.hosts]
 
+    def find_leader(self) -> str:
+        """Return the host that the last node has found as the leader."""
+        lines = self.nodes[self.hosts[-1]].read_output().splitlines()
+        found = [line for line in lines if "event=leader_found" in line]
+        return found[-1].partition("leader=")[2].split()[0]
+
+    def count_contacts(self, host: str) -> int:
+        """Return how often a node has found a leader."""
+        return self.nodes[host].read_output().count("event=leader_found")
+
     def wait_until_configured(self) -> None:
         """Wait until every node has applied a configuration."""
 
