Evacuation: settings' data centres in a test, no work per request without an order

Cause: the refusal listed a service's targets for each queued request also without any evacuation. Change: it looks at the evacuations first.

--- a/src/laburnumpitch/relay/target_catalog.py
+++ b/src/laburnumpitch/relay/target_catalog.py
@@ -126,13 +126,14 @@
         self, service: str, build: str, excluded: Container[str]
     ) -> NoTargetError:
         """Return the error of a request for which a service has no target left."""
-        left = [
-            target
-            for target in self.by_service.get(service, [])
-            if target.target_id not in excluded and build in ("", target.build)
-        ]
-        if left and not self.select_in_service(left):
-            return EvacuatedError(f"all targets of {service} are evacuated")
+        if self.fleet_view.evacuated:
+            left = [
+                target
+                for target in self.by_service.get(service, [])
+                if target.target_id not in excluded and build in ("", target.build)
+            ]
+            if left and not self.select_in_service(left):
+                return EvacuatedError(f"all targets of {service} are evacuated")
         return NoTargetError(f"{service} has no target")
 
     def find_refusal(
--- a/tests/fleet/test_evacuation.py
+++ b/tests/fleet/test_evacuation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import msgspec
 
@@ -61,6 +62,9 @@
         """Each is answered as often as it is sent; every node has it by then."""
 
         async def scenario(fleet: Fleet) -> None:
+            for node in fleet.nodes.values():
+                regions = {"far": "north"}
+                node.settings = replace(node.settings, regions_by_data_centre=regions)
             for number, (method, name, status, evacuated) in enumerate(
                 [
                     (WITHDRAW, "dc", 200, []),
@@ -75,6 +79,7 @@
                     (ORDER, "a%00", 400, ["dc"]),
                     (ORDER, "%ff", 400, ["dc"]),
                     ("GET", "dc", 400, ["dc"]),
+                    (ORDER, "far", 200, ["dc", "far"]),
                 ]
             ):
                 host = fleet.hosts[number % len(fleet.hosts)]
--- a/tests/platform/test_settings_file.py
+++ b/tests/platform/test_settings_file.py
@@ -56,6 +56,7 @@
         ("highest_port", make_changed("[7700, 7715]", "[65534]")),
         ("all_interfaces", make_changed("10.1.0.40:8005", "0.0.0.0:8005")),
         ("no_loss", make_changed("machines = 1", "machines = 0")),
+        ("zones", make_changed("unknown = [{a = 1}]", 'zones = {z = "north"}')),
         ("fraction", make_changed("lease_ms = 3000", "lease_ms = 2500.5")),
     ]
 
