--- a/src/laburnumpitch/relay/target_refusals.py
+++ b/src/laburnumpitch/relay/target_refusals.py
@@ -20,6 +20,8 @@
         excluded: Targets that are excluded.
     """
     service, build, allowed_regions = key
+    if not catalog.fleet_view.evacuated:
+        return NoTargetError(f"{service} has no target")
     targets = catalog.by_service.get(service, [])
     left = [
         target
