Coordinator: compare a sample of many targets; transfer cost by the measured prefill rate

Cause: a placement compared all targets, 0.77 ms at 70 and 8 ms at 720 engines, so that a coordinator's answers come too late at the peak. The cost of leaving the preferred target took 120,000 tokens/s as the prefill rate, three times that of the slowest engines in service, so that long prompts left their context too lightly.

--- a/src/laburnumpitch/relay/coordinator.py
+++ b/src/laburnumpitch/relay/coordinator.py
@@ -14,6 +14,7 @@
 from ..logging import get_logger
 from ..policy.placement_ledger import PlacementLedger
 from ..policy.probe_schedule import ProbeSchedule
+from ..policy.target_sample import TargetSampler
 from ..policy.target_selection import TargetCandidate, choose_target
 from .cold_grants import ColdGrants
 from .target_catalog import TargetCatalog
@@ -70,6 +71,8 @@
         self.backoff_until_s: dict[str, float] = {}
         """Until when targets in backoff at some node count as possibly unreachable."""
         self.probe_schedule = ProbeSchedule()
+        self.samplers: dict[str, TargetSampler] = {}
+        """Choices of the targets that are compared, by service."""
         self.cold_grants = ColdGrants(catalog.cold, get_time_s)
         self.logged_s: dict[str, float] = {}
         """When the load was logged, by service."""
@@ -92,6 +95,7 @@
         for service in list(self.ledgers):
             if not self.is_assigned(service):
                 del self.ledgers[service]
+                self.samplers.pop(service, None)
                 self.log.info("coordinator_stopped", service=service)
 
     def is_assigned(self, service: str) -> bool:
@@ -131,8 +135,7 @@
         for target_id in call.suspects:
             self.backoff_until_s[target_id] = now_s + SHARED_BACKOFF_S
         self.catalog.cold.apply_news(call.service, call.cold)
-        targets = self.list_targets(call)
-        open_candidates, are_others_full = self.make_candidates(ledger, targets, call)
+        targets, open_candidates, are_others_full = self.find_candidates(ledger, call)
         candidates = self.probe_schedule.select(open_candidates, are_others_full, now_s)
         tie_breaks = [self.random.random() for _ in candidates]
         # The node count is 1: only the coordinator assigns these targets.
@@ -163,14 +166,43 @@
             targets=len(self.catalog.get_targets(service)),
         )
 
+    def find_candidates(
+        self, ledger: PlacementLedger, call: PlaceCall
+    ) -> tuple[list[TargetRecord], Sequence[TargetCandidate], bool]:
+        """Return the targets that are compared, and the result of `make_candidates`.
+
+        In a large service these are a sample of the targets, or all of them if no
+        sound target of the sample has capacity.
+        """
+        staying = self.catalog.get_staying_targets(
+            call.service, call.build, call.allowed_regions
+        )
+        sampler = self.samplers.setdefault(call.service, TargetSampler(self.random))
+        sample = sampler.choose([t.target_id for t in staying], call.key)
+        if sample is not None:
+            sampled = [target for target in staying if target.target_id in sample]
+            targets = self.select_eligible(sampled, call)
+            candidates, are_others_full = self.make_candidates(ledger, targets, call)
+            if any(not c.is_possibly_unreachable for c in candidates):
+                return targets, candidates, are_others_full
+        targets = self.select_eligible(staying, call)
+        return targets, *self.make_candidates(ledger, targets, call)
+
     def list_targets(self, call: PlaceCall) -> list[TargetRecord]:
+        """Return the targets that can serve a request, regardless of their load."""
+        staying = self.catalog.get_staying_targets(
+            call.service, call.build, call.allowed_regions
+        )
+        return self.select_eligible(staying, call)
+
+    def select_eligible(
+        self, targets: list[TargetRecord], call: PlaceCall
+    ) -> list[TargetRecord]:
         """Return the targets that can serve a request, regardless of their load."""
         excluded_ids = {*call.excluded, *call.suspects}
         return [
             target
-            for target in self.catalog.get_staying_targets(
-                call.service, call.build, call.allowed_regions
-            )
+            for target in targets
             if target.target_id not in excluded_ids
             and self.catalog.is_eligible(target, call)
         ]
@@ -190,7 +222,12 @@
         for target in targets:
             load = ledger.get_usage(target.target_id)
             candidate = self.catalog.make_candidate(
-                target, call, store, load.running, load.pending_prefill_tokens
+                target,
+                call,
+                store,
+                load.running,
+                load.pending_prefill_tokens,
+                ledger.prefill_rate.tokens_per_s,
             )
             if self.backoff_until_s.get(target.target_id, 0.0) > now_s:
                 candidate = replace(candidate, is_possibly_unreachable=True)
--- a/src/laburnumpitch/relay/target_catalog.py
+++ b/src/laburnumpitch/relay/target_catalog.py
@@ -320,12 +320,16 @@
         return store
 
     def estimate_transfer_s(
-        self, target: TargetRecord, call: PlaceCall, store: StoreSpec | None
+        self,
+        target: TargetRecord,
+        call: PlaceCall,
+        store: StoreSpec | None,
+        prefill_tokens_per_s: float,
     ) -> float:
         """Return the time to import a request's shared context, or to recompute it."""
         if not call.key:
             return 0.0
-        prefill_s = call.shared_tokens / PREFILL_TOKENS_PER_S
+        prefill_s = call.shared_tokens / prefill_tokens_per_s
         engine = self.get_engine_spec(target.service)
         if store is None or engine is None:
             return prefill_s
@@ -342,6 +346,7 @@
         store: StoreSpec | None,
         running: float,
         pending_prefill_tokens: int,
+        prefill_tokens_per_s: float = PREFILL_TOKENS_PER_S,
     ) -> TargetCandidate:
         """Return a target as a candidate for the placement policy.
 
@@ -351,6 +356,7 @@
             store: The store of its session.
             running: Estimated number of requests that it runs.
             pending_prefill_tokens: Prompt tokens whose prefill has not ended.
+            prefill_tokens_per_s: Prefill rate of a target.
         """
         stats = self.statistics.get(target.target_id)
         version = self.find_weight_version(target, stats, call.model)
@@ -368,5 +374,5 @@
             target.data_centre != call.data_centre,
             # The rate of the others is limited instead.
             0.0 if self.cold.find_limited_service(target.service) else target.cold_s,
-            self.estimate_transfer_s(target, call, store),
+            self.estimate_transfer_s(target, call, store, prefill_tokens_per_s),
         )
