Evacuation: one attempt per leader for a change, names in the fuzz test

Cause: an attempt of 0.8 s ended while the leader waited for a node, and the search for another leader disturbed this node's other calls.

--- a/src/laburnumpitch/platform/evacuation_calls.py
+++ b/src/laburnumpitch/platform/evacuation_calls.py
@@ -84,6 +84,9 @@
             answer = await self.leader_client.call(
                 PutEvacuation(data_centre, is_evacuated, read.revision),
                 CHANGE_TIMEOUT_S,
+                # The leader's wait for the nodes is no reason to try another host; this
+                # node's other calls find out if it is lost.
+                CHANGE_TIMEOUT_S,
             )
             if answer.is_accepted:
                 return answer.revision
--- a/tests/fuzz/test_decoders.py
+++ b/tests/fuzz/test_decoders.py
@@ -15,6 +15,7 @@
 from laburnumpitch.clock import HybridLogicalClock
 from laburnumpitch.control.log_store import decode_record, encode_record
 from laburnumpitch.errors import LaburnumpitchError
+from laburnumpitch.fleet.evacuation_messages import ReadEvacuation
 from laburnumpitch.fleet.messages import (
     GrantContext,
     PlaceCall,
@@ -24,6 +25,7 @@
 from laburnumpitch.platform.announcements import decode_announcement
 from laburnumpitch.platform.configuration import decode_configuration
 from laburnumpitch.platform.control_api import decode_version_put
+from laburnumpitch.platform.evacuation_calls import decode_name
 from laburnumpitch.platform.http_headers import HeaderTranslator
 from laburnumpitch.platform.settings_file import read_settings
 from laburnumpitch.platform.target_client import (
@@ -74,6 +76,7 @@
     b'"/a/","route_type":"idempotent","timeout_ms":4000,"service":"s"}],"services":'
     b'[{"name":"s"}],"limits":{},"tenants":[{"name":"t","api_keys":["k"]}]}',
     "version_put": b'{"model":"m","version":2}',
+    "evacuation": b"z%C3%A9",
     "report": b'{"sequence":2,"busy":false,"models":[{"name":"m","version":1}]}',
     "events": b'{"epoch":1,"next_token":2,"has_gap":false,'
     b'"events":[[1,"+","s","p",800,"m"]],"clock_ms":5}',
@@ -114,6 +117,7 @@
     "announcement": encode,
     "configuration": lambda item: encode(StoreConfiguration(item.version, b"")),
     "version_put": encode,
+    "evacuation": lambda name: encode(ReadEvacuation(name)),
     "report": send_report_on,
     "events": use_events,
 }
@@ -123,6 +127,7 @@
     "announcement": lambda data: decode_announcement("t1", data),
     "configuration": decode_configuration,
     "version_put": decode_version_put,
+    "evacuation": lambda data: decode_name(data.decode("latin-1")),
     "report": lambda data: decode_answer(data, WireReport),
     "events": lambda data: decode_answer(data, WireEvents),
     "listing": lambda data: decode_answer(data, WireListing),
