--- a/tests/fuzz/test_decoders.py
+++ b/tests/fuzz/test_decoders.py
@@ -15,6 +15,7 @@
 from laburnumpitch.clock import HybridLogicalClock
 from laburnumpitch.control.log_store import decode_record, encode_record
 from laburnumpitch.errors import LaburnumpitchError
+from laburnumpitch.fleet.evacuation_messages import ReadEvacuation
 from laburnumpitch.fleet.explain_messages import ExplainPlace
 from laburnumpitch.fleet.messages import (
     GrantContext,
@@ -25,6 +26,7 @@
 from laburnumpitch.platform.announcements import decode_announcement
 from laburnumpitch.platform.configuration import decode_configuration
 from laburnumpitch.platform.control_api import decode_version_put
+from laburnumpitch.platform.evacuation_calls import decode_name
 from laburnumpitch.platform.explain_api import decode_question
 from laburnumpitch.platform.http_headers import HeaderTranslator
 from laburnumpitch.platform.settings_file import read_settings
@@ -80,6 +82,7 @@
     "version_put": b'{"model":"m","version":2}',
     "question": b'{"host":"h","path":"/a/","api_key":"k","pieces":"p:800,own:5",'
     b'"prompt_tokens":805,"output_tokens":5,"deadline_ms":900}',
+    "evacuation": b"z%C3%A9",
     "report": b'{"sequence":2,"busy":false,"models":[{"name":"m","version":1}]}',
     "events": b'{"epoch":1,"next_token":2,"has_gap":false,'
     b'"events":[[1,"+","s","p",800,"m"]],"clock_ms":5}',
@@ -130,6 +133,7 @@
     "configuration": lambda item: encode(StoreConfiguration(item.version, b"")),
     "version_put": encode,
     "question": ask_coordinator,
+    "evacuation": lambda name: encode(ReadEvacuation(name)),
     "report": send_report_on,
     "events": use_events,
 }
@@ -140,6 +144,7 @@
     "configuration": decode_configuration,
     "version_put": decode_version_put,
     "question": decode_question,
+    "evacuation": lambda data: decode_name(data.decode("latin-1")),
     "report": lambda data: decode_answer(data, WireReport),
     "events": lambda data: decode_answer(data, WireEvents),
     "listing": lambda data: decode_answer(data, WireListing),
