Repeated sends: counts each 10 s, and the threshold as it was at the decision

Cause: request_hedged showed the threshold that followed from its own outcome (37 ms at an age of 33 ms, soak seed 5); repeated_sends left out intervals without late requests, so that its share could not be added up. Change: the decision's threshold is kept; the counts are logged each 10 s.

--- a/src/laburnumpitch/relay/hedged_send.py
+++ b/src/laburnumpitch/relay/hedged_send.py
@@ -97,6 +97,8 @@
         """Age of the request at which a second send is considered next."""
         self.is_suppressed = False
         """Whether a second send was considered and not made."""
+        self.threshold_s = math.inf
+        """Age from which the request counted as late, at the last decision."""
         self.second_age_s = 0.0
         """Age of the request at which a second target was asked for."""
         self.usual: UsualDuration | None = None
@@ -183,9 +185,9 @@
         if self.usual is None:
             self.check_age_s = math.inf
             return
-        threshold_s = self.policy.get_threshold_s(self.kind, self.usual)
-        if age_s < threshold_s:
-            self.check_age_s = threshold_s
+        self.threshold_s = self.policy.get_threshold_s(self.kind, self.usual)
+        if age_s < self.threshold_s:
+            self.check_age_s = self.threshold_s
             return
         self.check_age_s = age_s * RECHECK_FACTOR
         admitted, build = self.first.admitted, self.run.build
@@ -347,14 +349,13 @@
             self.repeated_sends.record_sent(has_won)
         if self.outcome in (FIRST_WON, SECOND_WON):
             self.policy.record_outcome(self.kind, has_won)
-        threshold_s = self.policy.get_threshold_s(self.kind, self.usual)
         now_s = self.services.get_time_s()
         self.services.log.info(
             "request_hedged",
             request=second.admitted.metadata.request_id,
             route=self.kind.route,
             size_class=self.kind.size_class,
-            threshold_ms=round(threshold_s * 1000),
+            threshold_ms=round(self.threshold_s * 1000),
             median_ms=round(self.usual.median_s * 1000),
             samples=self.usual.samples,
             newest_s=round(self.usual.newest_age_s, 2),
--- a/src/laburnumpitch/relay/repeated_sends.py
+++ b/src/laburnumpitch/relay/repeated_sends.py
@@ -69,22 +69,21 @@
             self.counts["won"] += 1
 
     def log_counts(self) -> None:
-        """Log the counts at intervals, if any request was late."""
+        """Log the counts at intervals."""
         now_s = self.get_time_s()
         if now_s - self.logged_s < LOG_INTERVAL_S:
             return
-        if len(self.counts) > 1:
-            requests, sent = self.counts.pop("requests"), self.counts.pop("sent", 0)
-            self.log.info(
-                "repeated_sends",
-                span_s=round(now_s - self.logged_s, 1),
-                requests=requests,
-                sent=sent,
-                won=self.counts.pop("won", 0),
-                share=round(sent / requests, 4),
-                allowed=self.policy.share,
-                **self.counts,
-            )
+        requests, sent = self.counts.pop("requests"), self.counts.pop("sent", 0)
+        self.log.info(
+            "repeated_sends",
+            span_s=round(now_s - self.logged_s, 1),
+            requests=requests,
+            sent=sent,
+            won=self.counts.pop("won", 0),
+            share=round(sent / requests, 4),
+            allowed=self.policy.share,
+            **self.counts,
+        )
         self.logged_s = now_s
         self.counts.clear()
 
--- a/tests/relay/test_hedged_send.py
+++ b/tests/relay/test_hedged_send.py
@@ -5,11 +5,12 @@
 import asyncio
 import time
 from dataclasses import replace
+from types import SimpleNamespace
 
 import testscenarios
 
 from laburnumpitch.errors import TargetError
-from laburnumpitch.relay.repeated_sends import RepeatedSends
+from laburnumpitch.relay.repeated_sends import LOG_INTERVAL_S, RepeatedSends
 from laburnumpitch.relay.second_target import make_late_copy
 
 from .relay_case import (
@@ -285,6 +286,36 @@
         self.run_relay([[None], [None]], scenario)
 
 
+class CountsTest(HedgeCase):
+    """An operator reads what the second sends cost and brought."""
+
+    route = "read"
+
+    def test_log_line(self) -> None:
+        """One line has the requests, the second sends, the wins and the reasons."""
+        lines = []
+
+        async def scenario() -> None:
+            sends = self.services.repeated_sends
+            sends.log = SimpleNamespace(info=lambda event, **line: lines.append(line))
+            await self.send()
+            sends.record_suppressed("share")
+            sends.logged_s -= LOG_INTERVAL_S
+            await self.send()
+            expected = {
+                "requests": 2,
+                "sent": 1,
+                "won": 1,
+                "share": 0.5,
+                "against_share": 1,
+            }
+            self.assertEqual(expected, {name: lines[0][name] for name in expected})
+            self.assertEqual(1, len(lines))
+
+        scripts = [[PacedAnswer((b"", FIRST), LONG_PAUSE_S), FIRST], [SECOND, SECOND]]
+        self.run_relay(scripts, scenario)
+
+
 class NotSentTest(HedgeCase):
     """A second target cannot be connected to."""
 
