Repeated sends: checked again when the second target is found; kinds by service

Cause: between the decision and the send some 60 ms may pass, in which a configuration may make the route non-idempotent, or a crash make the request suspect. A route over two services of different speed compared one with the other. Change: both are asked again once the target is found, right before it is used; a kind names its service.

--- a/src/laburnumpitch/policy/usual_latency.py
+++ b/src/laburnumpitch/policy/usual_latency.py
@@ -40,6 +40,8 @@
 class RequestKind:
     """Requests that are expected to take about the same time."""
 
+    service: str
+    """A route may have several services, one of which is slower."""
     route: str
     size_class: int
 
--- a/src/laburnumpitch/relay/hedged_send.py
+++ b/src/laburnumpitch/relay/hedged_send.py
@@ -14,7 +14,15 @@
 from .._tasks import TASK_FAILURES
 from ..errors import LaburnumpitchError, TargetError, TargetRefusedError
 from ..fleet.messages import TargetRecord
-from ..policy.hedging import BUDGET, LOADED, NO_TARGET, RECHECK_FACTOR, SHARE
+from ..policy.hedging import (
+    ATTEMPTS,
+    BUDGET,
+    LOADED,
+    NO_TARGET,
+    RECHECK_FACTOR,
+    SHARE,
+    SUSPECT,
+)
 from ..policy.usual_latency import UsualDuration
 from .answer_deadlines import AnswerDeadlines
 from .configuration import STREAMING
@@ -22,6 +30,7 @@
 from .second_target import (
     has_free_slot,
     is_sound,
+    is_suspect,
     list_avoided_ids,
     make_late_copy,
     make_outlook,
@@ -49,6 +58,9 @@
             TargetError: If there is no answer that may be delivered.
         """
 
+    def is_retry_allowed(self) -> bool:
+        """Whether the configuration in force allows another run."""
+
     def count_runs_left(self) -> int:
         """Return the number of further targets that may run the request."""
 
@@ -261,6 +273,10 @@
         Time has passed since the decision. The retry is spent if there is none.
         """
         services = self.services
+        if not self.run.is_retry_allowed():
+            return ATTEMPTS
+        if is_suspect(services, self.first.admitted):
+            return SUSPECT
         if not is_sound(services, target):
             return NO_TARGET
         if not has_free_slot(services, target):
@@ -353,6 +369,7 @@
         self.services.log.info(
             "request_hedged",
             request=second.admitted.metadata.request_id,
+            service=self.kind.service,
             route=self.kind.route,
             size_class=self.kind.size_class,
             threshold_ms=round(self.threshold_s * 1000),
--- a/src/laburnumpitch/relay/repeated_sends.py
+++ b/src/laburnumpitch/relay/repeated_sends.py
@@ -43,7 +43,8 @@
         size = admitted.metadata.prompt_tokens
         if not admitted.route.has_context:
             size = len(admitted.request.body) // PLAIN_CLASS_BYTES
-        return RequestKind(admitted.route.name, get_size_class(size))
+        route = admitted.route.name
+        return RequestKind(admitted.service, route, get_size_class(size))
 
     def record_request(self) -> None:
         """Count a request that may be sent to a second target."""
--- a/tests/policy/hedge_replay.py
+++ b/tests/policy/hedge_replay.py
@@ -17,7 +17,7 @@
 )
 from laburnumpitch.policy.usual_latency import RequestKind
 
-KIND = RequestKind("chat", 5)
+KIND = RequestKind("models", "chat", 5)
 END_S = 60.0
 DEADLINE_S = 30.0
 ROUNDING_S = 1e-9
--- a/tests/relay/test_hedged_send.py
+++ b/tests/relay/test_hedged_send.py
@@ -10,6 +10,8 @@
 import testscenarios
 
 from laburnumpitch.errors import TargetError
+from laburnumpitch.fleet.messages import PlaceCall
+from laburnumpitch.relay.configuration import NON_IDEMPOTENT
 from laburnumpitch.relay.repeated_sends import LOG_INTERVAL_S, RepeatedSends
 from laburnumpitch.relay.second_target import make_late_copy
 
@@ -445,6 +447,43 @@
         self.run_relay([[]], scenario)
 
 
+class ChangedWhileAskingTest(HedgeCase):
+    """The request may no longer be repeated when its second target is found."""
+
+    scenarios = [
+        ("kind", {"route": "read", "changes": "kind"}),
+        ("suspect", {"route": "read", "changes": "suspect"}),
+    ]
+
+    def test_not_sent(self) -> None:
+        """The placement is released, and the first answer delivered."""
+
+        async def scenario() -> None:
+            source = RecordingSource(0.0)
+            request_placement = source.request_placement
+
+            async def change(call: PlaceCall):
+                result = await request_placement(call)
+                if len(source.assigned) == 2 and self.changes == "kind":
+                    routes = self.services.fleet_view.configuration.routes
+                    changed = [replace(r, kind=NON_IDEMPOTENT) for r in routes]
+                    self.change_configuration(version=2, routes=tuple(changed))
+                elif len(source.assigned) == 2:
+                    self.fleet_view.suspect_pieces = frozenset(("a",))
+                return result
+
+            source.request_placement = change
+            self.services.dispatcher.placement_source = source
+            status, _, body = await self.send()
+            self.assertEqual((200, b"first"), (status, body))
+            self.assertEqual([1, 0], self.count_requests())
+            self.assertEqual(["t0", "t1"], source.assigned)
+            self.assertEqual([0, 1], sorted(source.released))
+            self.assert_released()
+
+        self.run_relay([[PacedAnswer((b"", FIRST), PAUSE_S)], [SECOND]], scenario)
+
+
 class BegunStreamTest(HedgeCase):
     """A stream is silent after its first event."""
 
