--- a/src/laburnumpitch/relay/hedged_send.py
+++ b/src/laburnumpitch/relay/hedged_send.py
@@ -19,7 +19,15 @@
     TargetRefusedError,
 )
 from ..fleet.messages import TargetRecord
-from ..policy.hedging import BUDGET, LOADED, NO_TARGET, RECHECK_FACTOR, SHARE
+from ..policy.hedging import (
+    ATTEMPTS,
+    BUDGET,
+    LOADED,
+    NO_TARGET,
+    RECHECK_FACTOR,
+    SHARE,
+    SUSPECT,
+)
 from ..policy.usual_latency import UsualDuration
 from .answer_deadlines import AnswerDeadlines
 from .configuration import STREAMING
@@ -27,6 +35,7 @@
 from .second_target import (
     has_free_slot,
     is_sound,
+    is_suspect,
     list_avoided_ids,
     make_late_copy,
     make_outlook,
@@ -54,6 +63,9 @@
             TargetError: If there is no answer that may be delivered.
         """
 
+    def is_retry_allowed(self) -> bool:
+        """Whether the configuration in force allows another run."""
+
     def count_runs_left(self) -> int:
         """Return the number of further targets that may run the request."""
 
@@ -102,6 +114,8 @@
         """Age of the request at which a second send is considered next."""
         self.is_suppressed = False
         """Whether a second send was considered and not made."""
+        self.threshold_s = math.inf
+        """Age from which the request counted as late, at the last decision."""
         self.second_age_s = 0.0
         """Age of the request at which a second target was asked for."""
         self.usual: UsualDuration | None = None
@@ -188,9 +202,9 @@
         if self.usual is None:
             self.check_age_s = math.inf
             return
-        threshold_s = self.policy.get_threshold_s(self.kind, self.usual)
-        if age_s < threshold_s:
-            self.check_age_s = threshold_s
+        self.threshold_s = self.policy.get_threshold_s(self.kind, self.usual)
+        if age_s < self.threshold_s:
+            self.check_age_s = self.threshold_s
             return
         self.check_age_s = age_s * RECHECK_FACTOR
         admitted, build = self.first.admitted, self.run.build
@@ -264,6 +278,10 @@
         Time has passed since the decision. The retry is spent if there is none.
         """
         services = self.services
+        if not self.run.is_retry_allowed():
+            return ATTEMPTS
+        if is_suspect(services, self.first.admitted):
+            return SUSPECT
         if not is_sound(services, target):
             return NO_TARGET
         if not has_free_slot(services, target):
@@ -354,14 +372,14 @@
             self.repeated_sends.record_sent(has_won)
         if self.outcome in (FIRST_WON, SECOND_WON):
             self.policy.record_outcome(self.kind, has_won)
-        threshold_s = self.policy.get_threshold_s(self.kind, self.usual)
         now_s = self.services.get_time_s()
         self.services.log.info(
             "request_hedged",
             request=second.admitted.metadata.request_id,
+            service=self.kind.service,
             route=self.kind.route,
             size_class=self.kind.size_class,
-            threshold_ms=round(threshold_s * 1000),
+            threshold_ms=round(self.threshold_s * 1000),
             median_ms=round(self.usual.median_s * 1000),
             samples=self.usual.samples,
             newest_s=round(self.usual.newest_age_s, 2),
--- a/tests/relay/test_hedged_send.py
+++ b/tests/relay/test_hedged_send.py
@@ -5,11 +5,14 @@
 import asyncio
 import time
 from dataclasses import replace
+from types import SimpleNamespace
 
 import testscenarios
 
 from laburnumpitch.errors import TargetError
-from laburnumpitch.relay.repeated_sends import RepeatedSends
+from laburnumpitch.fleet.messages import PlaceCall
+from laburnumpitch.relay.configuration import NON_IDEMPOTENT
+from laburnumpitch.relay.repeated_sends import LOG_INTERVAL_S, RepeatedSends
 from laburnumpitch.relay.second_target import make_late_copy
 
 from .relay_case import (
@@ -285,6 +288,36 @@
         self.run_relay([[None], [None]], scenario)
 
 
+class CountsTest(HedgeCase):
+    """An operator reads what the second sends cost and brought."""
+
+    route = "read"
+
+    def test_log_line(self) -> None:
+        """One line has the requests, the second sends, the wins and the reasons."""
+        lines = []
+
+        async def scenario() -> None:
+            sends = self.services.repeated_sends
+            sends.log = SimpleNamespace(info=lambda event, **line: lines.append(line))
+            await self.send()
+            sends.record_suppressed("share")
+            sends.logged_s -= LOG_INTERVAL_S
+            await self.send()
+            expected = {
+                "requests": 2,
+                "sent": 1,
+                "won": 1,
+                "share": 0.5,
+                "against_share": 1,
+            }
+            self.assertEqual(expected, {name: lines[0][name] for name in expected})
+            self.assertEqual(1, len(lines))
+
+        scripts = [[PacedAnswer((b"", FIRST), LONG_PAUSE_S), FIRST], [SECOND, SECOND]]
+        self.run_relay(scripts, scenario)
+
+
 class NotSentTest(HedgeCase):
     """A second target cannot be connected to."""
 
@@ -414,6 +447,43 @@
         self.run_relay([[]], scenario)
 
 
+class ChangedWhileAskingTest(HedgeCase):
+    """The request may no longer be repeated when its second target is found."""
+
+    scenarios = [
+        ("kind", {"route": "read", "changes": "kind"}),
+        ("suspect", {"route": "read", "changes": "suspect"}),
+    ]
+
+    def test_not_sent(self) -> None:
+        """The placement is released, and the first answer delivered."""
+
+        async def scenario() -> None:
+            source = RecordingSource(0.0)
+            request_placement = source.request_placement
+
+            async def change(call: PlaceCall):
+                result = await request_placement(call)
+                if len(source.assigned) == 2 and self.changes == "kind":
+                    routes = self.services.fleet_view.configuration.routes
+                    changed = [replace(r, kind=NON_IDEMPOTENT) for r in routes]
+                    self.change_configuration(version=2, routes=tuple(changed))
+                elif len(source.assigned) == 2:
+                    self.fleet_view.suspect_pieces = frozenset(("a",))
+                return result
+
+            source.request_placement = change
+            self.services.dispatcher.placement_source = source
+            status, _, body = await self.send()
+            self.assertEqual((200, b"first"), (status, body))
+            self.assertEqual([1, 0], self.count_requests())
+            self.assertEqual(["t0", "t1"], source.assigned)
+            self.assertEqual([0, 1], sorted(source.released))
+            self.assert_released()
+
+        self.run_relay([[PacedAnswer((b"", FIRST), PAUSE_S)], [SECOND]], scenario)
+
+
 class BegunStreamTest(HedgeCase):
     """A stream is silent after its first event."""
 
