--- a/src/laburnumpitch/transport/_message_socket.py
+++ b/src/laburnumpitch/transport/_message_socket.py
@@ -77,15 +77,23 @@
         self.is_receive_scheduled = False
         self.receive_available()
 
+    def receive(self) -> list[bytes]:
+        """Return the frames of the next message.
+
+        Raises:
+            ZMQError: If none has arrived.
+        """
+        return self.socket.recv_multipart(zmq.DONTWAIT)
+
     def receive_available(self) -> None:
         """Hand on the messages that have arrived."""
         for _ in range(MAX_MESSAGES_PER_PASS):
             if self.is_closed:
                 return
-            try:
-                frames = self.socket.recv_multipart(zmq.DONTWAIT)
-            except zmq.ZMQError:
-                return
             with contain_errors(self.name):
+                try:
+                    frames = self.receive()
+                except zmq.ZMQError:
+                    return
                 self.on_message(frames)
         self.schedule_receive()
