--- a/harness/test_runner.py
+++ b/harness/test_runner.py
@@ -1,6 +1,7 @@
 """Runs the test modules, a few at a time, and prints `N passed, N failed`.
 
-Failures of tests that KNOWN-RED.txt lists are printed but not counted as failed.
+Modules that set `RUNS_ALONE = True` run one at a time after all the others. Failures of
+tests that KNOWN-RED.txt lists are printed but not counted as failed.
 """
 
 from __future__ import annotations
@@ -10,6 +11,7 @@
 import sys
 import time
 import unittest
+from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
@@ -22,6 +24,9 @@
 WORKERS = 3
 """Number of modules that run at the same time."""
 
+RUNS_ALONE_MARK = "\nRUNS_ALONE = True\n"
+"""Line of a module whose tests measure a process, or load the machine."""
+
 MODULE_TIMEOUT_S = 900
 PASSED = "PASSED"
 FAILED = "FAILED"
@@ -125,24 +130,38 @@
     return sorted(chosen, key=lambda name: "integration" not in name)
 
 
+def runs_alone(name: str) -> bool:
+    """Whether a module runs apart from the others."""
+    path = (ROOT / name.replace(".", "/")).with_suffix(".py")
+    return RUNS_ALONE_MARK in path.read_text()
+
+
+def run_modules(names: list[str]) -> Iterator[ModuleReport]:
+    """Run modules, those that run alone last, and yield their reports."""
+    alone = [name for name in names if runs_alone(name)]
+    with ThreadPoolExecutor(WORKERS) as workers:
+        others = [name for name in names if name not in alone]
+        yield from workers.map(run_module_in_subprocess, others)
+    yield from map(run_module_in_subprocess, alone)
+
+
 def run_all(folder: str, only: str) -> int:
     """Run every module and print the results; return the exit code."""
     known_red = read_known_red()
     passed = failed = known_failures = 0
-    with ThreadPoolExecutor(WORKERS) as workers:
-        for report in workers.map(run_module_in_subprocess, find_modules(folder, only)):
-            new_failures = [test for test in report.failed if test not in known_red]
-            known_failures += len(report.failed) - len(new_failures)
-            passed += len(report.passed)
-            failed += len(new_failures)
-            summary = "ok" if not report.failed else f"{len(report.failed)} failed"
-            print(f"{report.name}: {summary} in {report.duration_s:.1f} s", flush=True)
-            if report.failed:
-                print(report.output)
-            for test in set(report.failed) & set(known_red):
-                print(f"known red: {known_red[test]}")
-            for test in set(report.passed) & set(known_red):
-                print(f"known red, but passed this time: {known_red[test]}")
+    for report in run_modules(find_modules(folder, only)):
+        new_failures = [test for test in report.failed if test not in known_red]
+        known_failures += len(report.failed) - len(new_failures)
+        passed += len(report.passed)
+        failed += len(new_failures)
+        summary = "ok" if not report.failed else f"{len(report.failed)} failed"
+        print(f"{report.name}: {summary} in {report.duration_s:.1f} s", flush=True)
+        if report.failed:
+            print(report.output)
+        for test in set(report.failed) & set(known_red):
+            print(f"known red: {known_red[test]}")
+        for test in set(report.passed) & set(known_red):
+            print(f"known red, but passed this time: {known_red[test]}")
     if known_failures:
         print(f"{known_failures} known red, listed in KNOWN-RED.txt")
     print(f"{passed} passed, {failed} failed")
--- /dev/null
+++ b/tests/robustness/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of one process under clients and targets outside the limits."""
