HTTP server: one budget for what clients make a node hold, and reading that pauses

Change: the end of a connection is reported by its reader, and what is sent ahead stays unread; the next request is not answered before the last answer is taken. All servers of a node share policy/client_budget.py through transport/client_gate.py: a quarter of `limits.memory_mb`, and connections by `limits.max_fds`. Bodies, answers read whole and unfinished events wait for room; the first in line always gets through. While some wait, the connection that holds most for longest without progress is closed. Sockets are read into one shared buffer, whose window shrinks with the number of connections. A slow reader is given up after 30 s without taking anything, no longer after 30 s in all. server_connection.py is split: request_reader.py reads requests.

--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -34,7 +34,10 @@
 from .platform.control_api import ControlApi, ReadinessApi
 from .platform.settings_file import FleetSettings, read_settings
 from .platform.target_client import PlatformEngineClient, PlatformStoreClient
+from .policy.client_budget import make_sizes
 from .relay.coordinator import make_assignment_key
+from .transport.body_budget import BODY_BUDGET
+from .transport.client_gate import ClientGate
 from .transport.http_server import HttpServer
 from .transport.rpc import RpcPool, RpcServer
 from .transport.server_limits import ServerLimits
@@ -189,17 +192,21 @@
         settings = self.settings
         control_api = ControlApi(self.leader_client)
         ready_api = ReadinessApi(self.is_ready)
+        self.client_gate = gate = ClientGate(
+            make_sizes(settings.memory_bytes, settings.max_descriptors),
+            self.metrics.count,
+        )
         self.client_server = HttpServer(
-            *split_address(settings.client_address), self.relay.api.handle
+            *split_address(settings.client_address), self.relay.api.handle, gate=gate
         )
         self.control_server = HttpServer(
-            *split_address(settings.control_address), control_api.handle
+            *split_address(settings.control_address), control_api.handle, gate=gate
         )
         self.ready_server = HttpServer(
-            *split_address(settings.readiness_address), ready_api.handle
+            *split_address(settings.readiness_address), ready_api.handle, gate=gate
         )
         self.metrics_server = make_metrics_server(
-            settings.host, settings.metrics_port, self.metrics
+            settings.host, settings.metrics_port, self.metrics, gate
         )
         self.http_servers = [
             self.client_server,
@@ -219,6 +226,7 @@
             has_disk=self.node_record.has_disk,
             seeds=",".join(settings.seed_hosts),
         )
+        BODY_BUDGET.gate = self.client_gate
         self.fleet_view.on_change.append(self.apply_client_limits)
         self.rpc_server.on(Hello, self.bootstrap.on_hello)
         self.rpc_server.on(PrepareFounding, self.founding.on_prepare)
@@ -352,6 +360,8 @@
         """Stop all components."""
         self.bootstrap_task.cancel()
         await asyncio.gather(*(server.close() for server in self.http_servers))
+        self.client_gate.shut_down()
+        BODY_BUDGET.gate = None
         await self.fleet_view.close()
         if self.replica_manager is not None:
             await cancel_and_wait(
--- a/src/laburnumpitch/metrics.py
+++ b/src/laburnumpitch/metrics.py
@@ -54,6 +54,9 @@
     ),
     Metric("stream.unknown", "counter", "streams", "Of these, of unknown origin."),
     Metric("place.unanswered", "counter", "calls", "Unanswered calls of coordinators."),
+    Metric("client.closed", "counter", "connections", "Closed so that others go on."),
+    Metric("client.refused", "counter", "requests", "Refused as beyond a limit."),
+    Metric("client.held_bytes", "gauge", "bytes", "What clients make the node hold."),
     Metric("task.failed", "counter", "errors", "Unexpected errors of tasks."),
     Metric("quarantine.fingerprints", "gauge", "fingerprints", "Quarantined requests."),
 )
--- a/src/laburnumpitch/platform/settings_file.py
+++ b/src/laburnumpitch/platform/settings_file.py
@@ -11,6 +11,7 @@
 
 from ..errors import SettingsError
 from ..logging import get_logger
+from ..policy.client_budget import DEFAULT_DESCRIPTORS, DEFAULT_MEMORY_BYTES
 from ..policy.leaving_targets import DRAIN_S
 from .wire_values import (
     MAX_DURATION_MS,
@@ -23,6 +24,10 @@
 
 MS_PER_S = 1000.0
 
+BYTES_PER_MB = 1024 * 1024
+MAX_MEMORY_MB = 1e9
+"""Largest memory of a machine."""
+
 MAX_RETRIES = 1e9
 """Largest number of retries, for each request or in a window."""
 
@@ -30,6 +35,7 @@
 """A port; the one after it has to be a port, too."""
 
 DurationS = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_DURATION_MS / MS_PER_S)]
+MemoryMb = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_MEMORY_MB)]
 Retries = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_RETRIES)]
 
 
@@ -54,6 +60,13 @@
     drain_ms: DurationMs = 2000
 
 
+class WireLimits(msgspec.Struct):
+    """Limits of the machine; 0 if they are not known."""
+
+    memory_mb: MemoryMb = 0
+    max_fds: Count = 0
+
+
 class WireFaultTolerance(msgspec.Struct):
     """What may be lost at the same time."""
 
@@ -73,6 +86,7 @@
     data_dir: str = ""
     heartbeat_ms: Annotated[float, msgspec.Meta(ge=1.0, le=MAX_DURATION_MS)] = 1200
     bounds: WireBounds = msgspec.field(default_factory=WireBounds)
+    limits: WireLimits = msgspec.field(default_factory=WireLimits)
     fault_tolerance: WireFaultTolerance = msgspec.field(
         default_factory=WireFaultTolerance
     )
@@ -117,6 +131,10 @@
     """Time after which a VM that has started replaces a lost one."""
     drain_s: float = DRAIN_S
     """Time for which a target that is leaving still serves."""
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
+    """Memory of the machine."""
+    max_descriptors: int = DEFAULT_DESCRIPTORS
+    """Descriptors that the process may have open."""
 
 
 def get_host(address: str) -> str:
@@ -186,4 +204,6 @@
         tolerated_losses=wire.fault_tolerance.machines,
         catch_up_s=float(bounds.catch_up_s),
         drain_s=bounds.drain_ms / MS_PER_S,
+        memory_bytes=int(wire.limits.memory_mb * BYTES_PER_MB) or DEFAULT_MEMORY_BYTES,
+        max_descriptors=wire.limits.max_fds or DEFAULT_DESCRIPTORS,
     )
--- a/src/laburnumpitch/relay/stream_relay.py
+++ b/src/laburnumpitch/relay/stream_relay.py
@@ -52,6 +52,7 @@
             has_data = True
             last_event_id = self.last_event_id
             complete_events = self.splitter.feed(data)
+            await self.responder.hold(len(self.splitter.pending))
             part = complete_events if self.is_resumable else data
             if part:
                 await self.start(answer.status, headers)
--- a/src/laburnumpitch/transport/connection_log.py
+++ b/src/laburnumpitch/transport/connection_log.py
@@ -38,6 +38,36 @@
     """Lines that were left out since the last one that was written."""
 
 
+class LineLimiter:
+    """Bounds the rate of log lines of each kind.
+
+    Args:
+        get_time_s: Returns the monotonic time.
+    """
+
+    def __init__(self, get_time_s: Callable[[], float] = time.monotonic) -> None:
+        self.get_time_s = get_time_s
+        self.budgets: dict[tuple[str, str], LineBudget] = {}
+
+    def take(self, kind: tuple[str, str]) -> int | None:
+        """Return the number of lines left out before a line, or None to leave it out.
+
+        Args:
+            kind: Event and cause.
+        """
+        now_s = self.get_time_s()
+        budget = self.budgets.setdefault(kind, LineBudget(now_s))
+        if now_s - budget.started_s >= LOG_INTERVAL_S:
+            budget.started_s = now_s
+            budget.lines = 0
+        if budget.lines >= MAX_LINES_PER_INTERVAL:
+            budget.suppressed += 1
+            return None
+        budget.lines += 1
+        suppressed, budget.suppressed = budget.suppressed, 0
+        return suppressed
+
+
 class ConnectionLog:
     """Logs timeouts and unanswered requests, at a bounded rate for each kind.
 
@@ -48,7 +78,7 @@
     def __init__(self, get_time_s: Callable[[], float] = time.monotonic) -> None:
         self.get_time_s = get_time_s
         self.log = get_logger()
-        self.budgets: dict[tuple[str, str], LineBudget] = {}
+        self.line_limiter = LineLimiter(get_time_s)
         self.idle_closes = 0
         """Connections that were closed after an idle timeout without any data."""
 
@@ -65,8 +95,8 @@
         if phase is ConnectionPhase.IDLE and not unread_bytes:
             self.idle_closes += 1
             return
-        budget = self.take_line("connection_timed_out", phase)
-        if budget is None:
+        suppressed = self.line_limiter.take(("connection_timed_out", phase))
+        if suppressed is None:
             return
         self.log.info(
             "connection_timed_out",
@@ -74,9 +104,8 @@
             idle_ms=round((self.get_time_s() - last_received_s) * 1000),
             unread_bytes=unread_bytes,
             idle_closes=self.idle_closes,
-            suppressed=budget.suppressed,
+            suppressed=suppressed,
         )
-        budget.suppressed = 0
 
     def record_unanswered(
         self, cause: str, sent_bytes: int, has_disconnected: bool
@@ -88,27 +117,14 @@
             sent_bytes: Bytes of the answer that were handed to the socket.
             has_disconnected: Whether the client had closed the connection.
         """
-        budget = self.take_line("request_unanswered", f"{cause} {has_disconnected}")
-        if budget is None:
+        kind = ("request_unanswered", f"{cause} {has_disconnected}")
+        suppressed = self.line_limiter.take(kind)
+        if suppressed is None:
             return
         self.log.info(
             "request_unanswered",
             cause=cause,
             sent_bytes=sent_bytes,
             has_disconnected=has_disconnected,
-            suppressed=budget.suppressed,
+            suppressed=suppressed,
         )
-        budget.suppressed = 0
-
-    def take_line(self, event: str, kind: str) -> LineBudget | None:
-        """Return the budget of a kind of line, or None if it is used up."""
-        now_s = self.get_time_s()
-        budget = self.budgets.setdefault((event, kind), LineBudget(now_s))
-        if now_s - budget.started_s >= LOG_INTERVAL_S:
-            budget.started_s = now_s
-            budget.lines = 0
-        if budget.lines >= MAX_LINES_PER_INTERVAL:
-            budget.suppressed += 1
-            return None
-        budget.lines += 1
-        return budget
--- a/src/laburnumpitch/transport/http_client.py
+++ b/src/laburnumpitch/transport/http_client.py
@@ -14,7 +14,7 @@
 
 from ..errors import MalformedAnswerError, TargetError, TargetTimeoutError
 from ._client_pool import ClientPool
-from .body_budget import BodyBudget
+from .body_budget import BODY_BUDGET
 from .header_bytes import decode_headers, encode_headers
 from .http_connection import ExtendDeadline, HttpConnection
 from .http_server import Headers
@@ -63,9 +63,6 @@
 )
 """Headers that apply to one connection and are never forwarded."""
 
-BODY_BUDGET = BodyBudget()
-"""Bounds the bodies that this process reads into memory."""
-
 
 class InvalidRequestError(MalformedAnswerError):
     """A request cannot be written as HTTP, which says nothing about its target."""
@@ -112,6 +109,11 @@
         """Whether the headers state the length of the body."""
         return any(name == "content-length" for name, _ in self.headers)
 
+    def get_length(self) -> int:
+        """Return the length of the body that the headers state; 0 without one."""
+        lengths = [v for name, v in self.headers if name == "content-length"]
+        return int(lengths[0]) if lengths and lengths[0].isdecimal() else 0
+
     @property
     def is_framed(self) -> bool:
         """Whether the body's end is marked, rather than that of the connection."""
@@ -151,8 +153,11 @@
         progress_bytes = 0
         reservation = BODY_BUDGET.open_reservation()
         try:
+            has_waited = await reservation.grow_ahead(self.get_length())
+            if has_waited and choose_deadline_s:
+                self.deadline_s = choose_deadline_s()
             async for chunk in self.iterate_body():
-                reservation.grow(len(chunk))
+                await reservation.grow(len(chunk))
                 body += chunk
                 if (
                     choose_deadline_s
--- a/src/laburnumpitch/transport/http_connection.py
+++ b/src/laburnumpitch/transport/http_connection.py
@@ -9,16 +9,14 @@
 import h11
 
 from ..errors import MalformedAnswerError, TargetError, TargetTimeoutError
+from .body_budget import BODY_BUDGET
+from .connection_reader import get_receive_buffer
 from .server_limits import MAX_HEADER_BYTES
 
 TCP_USER_TIMEOUT_MS = 1000
 """Time in which the other end's machine has to acknowledge sent data; after it the
 kernel closes the connection."""
 
-MAX_UNREAD_BYTES = 256 * 1024
-"""Bytes received but not yet read above which receiving is paused."""
-
-
 SLICE_BYTES = 16 * 1024
 """Bytes that are parsed before the answer's bounds are checked again."""
 
@@ -37,7 +35,7 @@
 to give the answer up."""
 
 
-class HttpConnection(asyncio.Protocol):
+class HttpConnection(asyncio.BufferedProtocol):
     """A connection to a server, with its h11 state and unread data.
 
     Args:
@@ -52,6 +50,7 @@
         self.transport: asyncio.Transport | None = None
         self.unread_chunks: list[bytes] = []
         self.unread_bytes = 0
+        self.is_receiving_paused = False
         self.error: Exception | None = None
         """Why the connection broke; None while open and after an orderly close."""
         self.is_input_closed = False
@@ -86,11 +85,16 @@
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
         )
 
-    def data_received(self, data: bytes) -> None:
-        """Buffer received data; pause receiving if too much of it is unread."""
-        self.unread_chunks.append(data)
-        self.unread_bytes += len(data)
-        if self.unread_bytes > MAX_UNREAD_BYTES:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read from the socket."""
+        return get_receive_buffer(BODY_BUDGET.get_window_bytes())
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Keep received data; pause receiving while a window of it is unread."""
+        self.unread_chunks.append(bytes(get_receive_buffer(nbytes)))
+        self.unread_bytes += nbytes
+        if self.unread_bytes >= BODY_BUDGET.get_window_bytes():
+            self.is_receiving_paused = True
             self.transport.pause_reading()
         self.wake_reader()
 
@@ -136,13 +140,14 @@
         """
         if not self.unread_chunks:
             return b""
-        was_paused = self.unread_bytes > MAX_UNREAD_BYTES
         data = self.unread_chunks.pop(0)
         if len(data) > SLICE_BYTES:
             self.unread_chunks.insert(0, data[SLICE_BYTES:])
             data = data[:SLICE_BYTES]
         self.unread_bytes -= len(data)
-        if was_paused and self.unread_bytes <= MAX_UNREAD_BYTES:
+        window_bytes = BODY_BUDGET.get_window_bytes()
+        if self.is_receiving_paused and self.unread_bytes < window_bytes:
+            self.is_receiving_paused = False
             self.transport.resume_reading()
         return data
 
--- a/src/laburnumpitch/transport/http_server.py
+++ b/src/laburnumpitch/transport/http_server.py
@@ -9,8 +9,9 @@
 
 from ..errors import NOT_RUN, InternalError, TooLargeError
 from ..logging import get_logger
+from .client_gate import ClientGate
 from .connection_log import ConnectionLog
-from .connection_reader import ConnectionReader
+from .connection_reader import ConnectionReader, ServerProtocol
 from .http_request import Headers, HttpRequest
 from .responder import Responder
 from .server_connection import ServerConnection
@@ -18,9 +19,6 @@
 
 __all__ = ["Headers", "HttpRequest", "HttpServer", "RequestHandler", "Responder"]
 
-MAX_CONNECTIONS = 4096
-"""Maximum number of open connections; further ones are closed on arrival."""
-
 CLOSE_FLUSH_TIMEOUT_S = 0.25
 """Timeout of sending what was written as the server closes; the process may be killed
 soon after."""
@@ -40,6 +38,7 @@
         port: TCP port to bind; 0 picks a free one.
         handler: Answers a request; must finish the answer or raise.
         limits: Limits on clients.
+        gate: The budget that the servers of a process share; its own if None.
     """
 
     def __init__(
@@ -48,11 +47,13 @@
         port: int,
         handler: RequestHandler,
         limits: ServerLimits | None = None,
+        gate: ClientGate | None = None,
     ) -> None:
         self.host = host
         self.port = port
         self.handler = handler
         self.limits = limits or ServerLimits()
+        self.gate = gate or ClientGate()
         self.is_draining = False
         self.active_requests = 0
         """Number of requests in progress."""
@@ -78,7 +79,7 @@
 
     def make_protocol(self) -> asyncio.StreamReaderProtocol:
         """Return the protocol of a new connection."""
-        return asyncio.StreamReaderProtocol(ConnectionReader(), self.on_connection)
+        return ServerProtocol(self.on_connection, self.gate.budget.get_window_bytes)
 
     def stop_accepting(self) -> None:
         """Accept no new connections; close the others after their next answer.
@@ -121,12 +122,13 @@
         """Serve one connection until it ends."""
         task = asyncio.current_task()
         assert task is not None
-        if len(self.connection_tasks) >= MAX_CONNECTIONS:
-            writer.close()
+        if not self.gate.may_accept(len(self.connection_tasks)):
+            self.gate.record_refused("connections")
+            writer.transport.abort()
             return
         self.connection_tasks.add(task)
         connection = ServerConnection(
-            reader, writer, lambda: self.limits, self.connection_log
+            reader, writer, lambda: self.limits, self.connection_log, self.gate
         )
         self.connections.add(connection)
         end: BaseException | None = None
@@ -145,6 +147,9 @@
         try:
             await connection.close(end)
         finally:
+            # The error's traceback refers to this frame, and to all that was read.
+            end = None
+            self.gate.close(connection.holding)
             self.connection_tasks.discard(task)
             self.connections.discard(connection)
 
@@ -155,9 +160,11 @@
             try:
                 request = await connection.read_request()
             except TooLargeError as error:
+                self.gate.record_refused(error.code)
                 await self.reject(connection, error.status, error.code)
                 return
             except h11.RemoteProtocolError as error:
+                self.gate.record_refused("malformed")
                 await self.reject(connection, error.error_status_hint, "malformed")
                 return
             except asyncio.TimeoutError:
@@ -174,7 +181,13 @@
                 await self.run_handler(request, responder, connection)
             finally:
                 self.active_requests -= 1
-            if not responder.has_finished or not connection.prepare_next_request():
+            del request
+            if not responder.has_finished:
+                return
+            connection.hold_body(0)
+            # The next request is not answered while this one's answer is not taken.
+            await responder.wait_sent()
+            if not connection.prepare_next_request():
                 return
 
     async def reject(
@@ -196,9 +209,7 @@
     ) -> None:
         """Run the handler, and cancel it if the client disconnects."""
         handler_task = asyncio.ensure_future(self.handler(request, responder))
-        watch_task = asyncio.ensure_future(
-            connection.cancel_on_disconnect(handler_task)
-        )
+        connection.watch_end(handler_task)
         try:
             await handler_task
         except asyncio.CancelledError:
@@ -212,5 +223,4 @@
             failure = InternalError()
             await self.reject(connection, failure.status, failure.code, failure.run)
         finally:
-            watch_task.cancel()
-            await asyncio.gather(watch_task, return_exceptions=True)
+            connection.unwatch_end()
--- a/src/laburnumpitch/transport/server_connection.py
+++ b/src/laburnumpitch/transport/server_connection.py
@@ -1,30 +1,21 @@
-"""Server side of an HTTP connection: reads requests, within limits, through h11."""
+"""Server side of an HTTP connection: its requests, their answers, and how it ends."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-import sys
-import time
 from collections.abc import Callable
 
 import h11
 
-from ..errors import TooLargeError
-from ._socket_state import count_unread_bytes
+from ..policy.client_budget import CONNECTION_BYTES, HoldingKind
+from .client_gate import ClientGate
 from .connection_log import ConnectionLog, ConnectionPhase
 from .connection_reader import CHUNK_BYTES, ConnectionReader
-from .header_bytes import decode_headers
-from .http_request import HttpRequest
+from .request_reader import RequestReader
 from .responder import WRITE_TIMEOUT_S, Responder, WriteTimeoutError
 from .server_limits import ServerLimits
 
-IDLE_MARGIN_S = 1.0
-"""Time after the idle timeout in which a request sent before it may arrive."""
-
-BODY_TIMEOUT_S = 30.0
-"""Timeout of a request's complete body, from the end of the headers."""
-
 LINGER_TIMEOUT_S = 2.0
 """Time for which a client may go on to send after the last answer."""
 
@@ -32,7 +23,7 @@
 """Bytes that a client may go on to send: twice the largest body by default."""
 
 
-class ServerConnection:
+class ServerConnection(RequestReader):
     """A client's connection.
 
     Args:
@@ -40,6 +31,7 @@
         writer: Stream to the client.
         get_limits: Returns the limits in force.
         connection_log: Records timeouts and unanswered requests.
+        gate: The budget of the process.
     """
 
     def __init__(
@@ -48,31 +40,22 @@
         writer: asyncio.StreamWriter,
         get_limits: Callable[[], ServerLimits],
         connection_log: ConnectionLog,
+        gate: ClientGate,
     ) -> None:
-        self.reader = reader
-        self.writer = writer
-        self.get_limits = get_limits
-        # `next_event` has the limit, which may change while the connection is open.
-        self.h11_connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=sys.maxsize
-        )
-        self.limits = get_limits()
-        """The highest limits in force since the wait for the request began."""
         self.connection_log = connection_log
-        self.loop = asyncio.get_running_loop()
-        self.overrun_deadline_s: float | None = None
-        """Deadline after which only data that had arrived is read."""
-        self.overrun_bytes = 0
-        """Bytes that had arrived by that deadline and were not read yet."""
-        self.phase = ConnectionPhase.IDLE
-        self.responder = Responder(self.h11_connection, writer)
-        """Answers the current or the next request."""
-        self.previous_responder = self.responder
         self.task = asyncio.current_task()
         self.must_linger = False
         """Whether the client may go on to send a request that was refused."""
         self.has_disconnected = False
         """Whether the client disconnected during an answer."""
+        self.finished_bytes = 0
+        """Bytes of the answers before the current one."""
+        super().__init__(reader, writer, get_limits, gate)
+        window_bytes = gate.budget.get_window_bytes()
+        writer.transport.set_write_buffer_limits(window_bytes)
+        self.responder = Responder(self.h11_connection, writer, self)
+        """Answers the current or the next request."""
+        self.previous_responder = self.responder
 
     @property
     def last_answer(self) -> Responder:
@@ -81,15 +64,6 @@
             return self.responder
         return self.previous_responder
 
-    def count_unread_bytes(self) -> int:
-        """Return the number of bytes that have arrived and were not read.
-
-        A socket that is being closed is not read any more.
-        """
-        if self.writer.is_closing():
-            return self.reader.unread_bytes
-        return self.reader.unread_bytes + count_unread_bytes(self.writer)
-
     def is_idle(self) -> bool:
         """Whether the connection waits for a request of which nothing has arrived.
 
@@ -190,20 +164,6 @@
                         return
                     discarded_bytes += len(data)
 
-    def raise_limits(self, limits: ServerLimits) -> None:
-        """Let a wait that has begun have the limits that come into force.
-
-        A client may go by the new limits at once, and by the ones before on a
-        connection that it kept while they were in force.
-        """
-        self.limits = self.limits.get_highest(limits)
-
-    def has_partial_request(self) -> bool:
-        """Whether a part of a request, and not all of it, has been read."""
-        return self.h11_connection.their_state is not h11.IDLE or bool(
-            self.h11_connection.trailing_data[0]
-        )
-
     def prepare_next_request(self) -> bool:
         """Make ready for another request; False if the connection has to be closed."""
         connection = self.h11_connection
@@ -212,167 +172,69 @@
         if connection.their_state is not h11.DONE:
             return False
         connection.start_next_cycle()
+        self.finished_bytes += self.responder.written_bytes
         self.previous_responder = self.responder
-        self.responder = Responder(connection, self.writer)
+        self.responder = Responder(connection, self.writer, self)
         return True
 
-    async def read_request(self) -> HttpRequest | None:
-        """Read one request, or return None if the connection was closed.
+    def watch_end(self, handler_task: asyncio.Future[None]) -> None:
+        """Cancel a handler when its client disconnects.
 
-        Raises:
-            TooLargeError: If the body exceeds its limit.
+        Requests that the client sends ahead stay unread meanwhile.
         """
-        head = await self.read_head()
-        if head is None:
-            return None
-        received_at_s = time.monotonic()
-        header_names = {name for name, _ in head.headers}
-        if b"content-length" in header_names and b"transfer-encoding" in header_names:
-            raise h11.RemoteProtocolError("ambiguous length", error_status_hint=400)
-        self.phase = ConnectionPhase.BODY
-        body = await self.read_body(self.loop.time() + BODY_TIMEOUT_S)
-        self.phase = ConnectionPhase.ANSWER
-        path, _, query = head.target.decode("latin-1").partition("?")
-        headers = decode_headers(head.headers)
-        method = head.method.decode("latin-1")
-        return HttpRequest(method, path, query, headers, body, received_at_s)
-
-    async def read_head(self) -> h11.Request | None:
-        """Read up to the end of the headers.
 
-        Raises:
-            TimeoutError: If the client is idle or slow for too long.
-        """
-        connection = self.h11_connection
-        self.limits = self.get_limits()
-        self.phase = ConnectionPhase.HEADER
-        started_s = self.loop.time()
-        while True:
-            event = self.next_event()
-            if isinstance(event, h11.Request):
-                return event
-            if event is not h11.NEED_DATA:
-                return None
-            if not connection.trailing_data[0]:
-                data = await self.wait_for_request()
-                started_s = self.loop.time()
-            else:
-                data = await self.read_by(
-                    lambda: started_s + self.limits.header_timeout_s
-                )
-            connection.receive_data(data)
-
-    async def wait_for_request(self) -> bytes:
-        """Return the first data of a request, or an empty string at the end.
+        def cancel() -> None:
+            self.has_disconnected = True
+            handler_task.cancel()
 
-        Raises:
-            TimeoutError: If the client is idle for too long.
-        """
-        self.phase = ConnectionPhase.IDLE
-        started_s = self.loop.time()
-        data = await self.read_by(
-            lambda: started_s + self.limits.idle_timeout_s + IDLE_MARGIN_S
-        )
-        self.phase = ConnectionPhase.HEADER
-        return data
+        if self.reader.has_ended:
+            cancel()
+        else:
+            self.reader.on_end = cancel
 
-    async def read_body(self, deadline_s: float) -> bytes:
-        """Read up to the end of the body.
+    def unwatch_end(self) -> None:
+        """Let the end of the connection cancel nothing."""
+        self.reader.on_end = lambda: None
 
-        Args:
-            deadline_s: Time of the event loop by which it has to arrive.
+    def update_holding(self) -> None:
+        """Count what the connection makes the node hold."""
+        self.gate.resize(self.holding, self.measure_bytes())
 
-        Raises:
-            TimeoutError: If it does not.
-            TooLargeError: If it exceeds its limit.
-            ConnectionError: If the client disconnects.
-        """
-        connection = self.h11_connection
-        chunks = []
-        size = 0
-        while True:
-            if connection.they_are_waiting_for_100_continue:
-                continue_answer = h11.InformationalResponse(status_code=100, headers=[])
-                self.writer.write(connection.send(continue_answer))
-            event = self.next_event()
-            if event is h11.NEED_DATA:
-                connection.receive_data(await self.read_by(lambda: deadline_s))
-            elif isinstance(event, h11.Data):
-                size += len(event.data)
-                body_bytes = self.limits.body_bytes
-                if size > body_bytes:
-                    raise TooLargeError(f"body over {body_bytes} bytes")
-                chunks.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                return b"".join(chunks)
-            else:
-                raise ConnectionError("the client disconnected")
-
-    def next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
-        """Return the next event in the data that was read.
+    async def wait_for_answer_room(self, size: int) -> None:
+        """Wait until the answer may hold further bytes.
 
         Raises:
-            RemoteProtocolError: If it is malformed, or incomplete and too long.
+            TargetTimeoutError: If there is no room in time.
         """
-        event = self.h11_connection.next_event()
-        if event is h11.NEED_DATA:
-            incomplete_bytes = len(self.h11_connection.trailing_data[0])
-            if incomplete_bytes > self.limits.header_bytes:
-                raise h11.RemoteProtocolError(
-                    f"over {self.limits.header_bytes} bytes", error_status_hint=431
-                )
-        return event
-
-    async def read_by(self, get_deadline_s: Callable[[], float]) -> bytes:
-        """Return data that arrives by a deadline, or an empty string at the end.
+        self.holding.kind = HoldingKind.ANSWER
+        await self.gate.wait_for_answer_room(self.holding, size)
+
+    def measure_bytes(self) -> int:
+        """Return what the connection makes the node hold."""
+        return (
+            CONNECTION_BYTES
+            + self.body_bytes
+            + self.responder.pending_bytes
+            + self.writer.transport.get_write_buffer_size()
+        )
 
-        Data that had arrived by the deadline is returned later too, as the process may
-        have been suspended, or busy, at the deadline.
+    def count_progress_bytes(self) -> int:
+        """Return the number of bytes that the client has sent and taken."""
+        written_bytes = self.finished_bytes + self.responder.written_bytes
+        unsent_bytes = self.writer.transport.get_write_buffer_size()
+        return self.reader.received_bytes + written_bytes - unsent_bytes
 
-        Args:
-            get_deadline_s: Returns a time of the event loop, which may move.
+    def has_claim(self) -> bool:
+        """Whether a request was read whole, and its client does not keep it waiting.
 
-        Raises:
-            TimeoutError: If all that had arrived by the deadline was returned.
-            ConnectionError: If the connection is lost.
+        Its answer is delivered. A client that leaves an answer unread has no claim.
         """
-        while self.loop.time() < (deadline_s := get_deadline_s()):
-            with contextlib.suppress(asyncio.TimeoutError):
-                async with asyncio.timeout_at(deadline_s):
-                    return await self.read()
-        if self.overrun_deadline_s != deadline_s:
-            self.overrun_deadline_s = deadline_s
-            self.overrun_bytes = self.count_unread_bytes()
-        if self.overrun_bytes <= 0:
-            raise asyncio.TimeoutError
-        data = await self.read()
-        self.overrun_bytes -= len(data)
-        return data
-
-    async def read(self) -> bytes:
-        """Return data that arrives, or an empty string at the end.
+        return (
+            self.has_unanswered_request()
+            and not self.writer.transport.get_write_buffer_size()
+        )
 
-        Raises:
-            ConnectionError: If the connection is lost.
-        """
-        try:
-            return await self.reader.read(CHUNK_BYTES)
-        except TimeoutError as error:
-            # The socket's ETIMEDOUT is of the class that the timeouts raise.
-            raise ConnectionError("the connection timed out") from error
-
-    async def cancel_on_disconnect(self, handler_task: asyncio.Future[None]) -> None:
-        """Cancel a handler when its client disconnects; buffer pipelined data."""
-        while True:
-            try:
-                data = await self.reader.read(CHUNK_BYTES)
-            except OSError:
-                data = b""
-            if not data:
-                self.has_disconnected = True
-                handler_task.cancel()
-                return
-            self.h11_connection.receive_data(data)
-            pipelined_bytes = len(self.h11_connection.trailing_data[0])
-            if pipelined_bytes > self.get_limits().header_bytes:
-                return
+    def abort(self) -> None:
+        """Close the connection at once; what was not sent is lost."""
+        self.writer.transport.abort()
+        self.cancel()
--- a/tests/transport/test_endless_answers.py
+++ b/tests/transport/test_endless_answers.py
@@ -7,8 +7,9 @@
 import testtools
 
 from laburnumpitch.errors import TargetError, TargetTimeoutError
+from laburnumpitch.policy.client_budget import MAX_WINDOW_BYTES
 from laburnumpitch.transport.http_client import BODY_BUDGET, HttpAnswer, HttpClient
-from laburnumpitch.transport.http_connection import MAX_UNREAD_BYTES, HttpConnection
+from laburnumpitch.transport.http_connection import HttpConnection
 
 from .endless_answers import SCENARIOS, EndlessServer
 
@@ -61,7 +62,7 @@
                 pass
             connection = client.connection
             received = connection.answer_bytes + connection.unread_bytes
-            self.assertLess(received, MAX_ANSWER_BYTES + 2 * MAX_UNREAD_BYTES)
+            self.assertLess(received, MAX_ANSWER_BYTES + 2 * MAX_WINDOW_BYTES)
             self.assertEqual(0, BODY_BUDGET.used_bytes)
             await server.closed.wait()
             server.close()
