--- a/harness/process.py
+++ b/harness/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import re
 import signal
 import subprocess
 import sys
@@ -128,6 +129,15 @@
         fields = Path(f"/proc/{self.popen.pid}/statm").read_text().split()
         return int(fields[1]) * os.sysconf("SC_PAGE_SIZE")
 
+    def get_peak_rss_bytes(self) -> int:
+        """Return the largest size that the resident memory has had; 0 if it ended."""
+        try:
+            status = Path(f"/proc/{self.popen.pid}/status").read_text()
+        except (AttributeError, OSError):
+            return 0
+        found = re.search(r"VmHWM:\s+(\d+) kB", status)
+        return int(found[1]) * 1024 if found else 0
+
 
 def wait_for(
     condition, timeout_s: float, description: str, interval_s: float = 0.02
--- a/harness/reference.py
+++ b/harness/reference.py
@@ -119,7 +119,43 @@
     return "\n".join(parts)
 
 
+LIMIT_MODULES = (
+    "policy/client_budget",
+    "transport/server_limits",
+    "transport/request_reader",
+    "transport/server_connection",
+    "transport/responder",
+    "transport/client_gate",
+    "transport/connection_reader",
+)
+"""Modules whose constants bound what clients may do."""
+
+CONSTANT_PATTERN = re.compile(
+    r"^([A-Z][A-Z_]+) = ([^\n]+)\n\"\"\"(.*?)\"\"\"", re.MULTILINE | re.DOTALL
+)
+"""Matches a constant with its docstring."""
+
+
+def make_limits_page() -> str:
+    """Return the reference page of the limits on clients."""
+    rows = []
+    for module in LIMIT_MODULES:
+        source = (SOURCE_FOLDER / f"{module}.py").read_text()
+        for name, value, text in CONSTANT_PATTERN.findall(source):
+            meaning = " ".join(text.split())
+            rows.append((f"`{module}.{name}`", f"`{value}`", meaning))
+    heading = "# Limits on clients\n\n" + GENERATED_NOTE
+    heading += (
+        "\nThe settings file has `[limits]`: `memory_mb` (memory of the machine) and "
+        "`max_fds` (descriptors of the process); 0 or absent: not known. The "
+        "configuration has `limits`: `max_header_bytes` (16384), `max_body_bytes` "
+        "(4194304), `header_timeout_ms` (3000) and `idle_timeout_ms` (15000).\n\n"
+    )
+    return heading + make_table(("limit", "value", "meaning"), rows)
+
+
 PAGES = {
+    "limits": make_limits_page,
     "settings": make_settings_page,
     "errors": make_errors_page,
     "metrics": make_metrics_page,
--- a/harness/soak/__main__.py
+++ b/harness/soak/__main__.py
@@ -21,6 +21,7 @@
 from .clients import SoakClients
 from .fault_injector import SoakFaultInjector
 from .fleet import SoakFleet, make_run_folder
+from .floods import SoakFloods
 from .node_outages import NodeOutages
 from .operator import (
     ENGINE_SERVICE,
@@ -140,9 +141,12 @@
         injector.run(options.fault_interval_s, unplanned_s)
     )
     outage_task = asyncio.create_task(NodeOutages(injector).run(unplanned_s))
+    floods = SoakFloods(injector)
+    flood_task = asyncio.create_task(floods.run(unplanned_s))
     await asyncio.sleep(seconds)
     fault_task.cancel()
     await outage_task
+    await flood_task
     await injector.finish()
     recovery_deadline_s = time.monotonic() + RECOVERY_S
     await asyncio.sleep(RECOVERY_S + FAULT_FREE_S)
@@ -161,7 +165,9 @@
         injector.planned_stop_times_s,
         injector.unplanned_fault_times_s,
         recovery_deadline_s,
+        floods.peak_memory_bytes,
     )
+    floods.measure()
     for node in fleet.nodes.values():
         node.check_running()
     return history, injector
--- a/harness/soak/checks.py
+++ b/harness/soak/checks.py
@@ -9,6 +9,7 @@
 
 from ..history import Verdict
 from .clients import STREAMING_ROUTES
+from .fleet import MEMORY_MB
 from .operator import (
     PLAIN_SERVICES,
     VERSIONED_ROUTE_LIFETIME,
@@ -66,9 +67,19 @@
         check_holders(history.journal),
         check_planned_stops(history),
         check_recovery(history),
+        check_memory(history),
     ]
 
 
+def check_memory(history: SoakHistory) -> Verdict:
+    """Check that the nodes stay within their machines, also under floods."""
+    verdict = Verdict("nodes_within_memory")
+    for host, peak_bytes in history.peak_memory_bytes.items():
+        peak_mb = peak_bytes / 1024 / 1024
+        verdict.expect(peak_mb < MEMORY_MB, f"{host}: {peak_mb:.0f} MB")
+    return verdict
+
+
 def check_runs(history: SoakHistory, runs: dict[str, list[Arrival]]) -> Verdict:
     """Check that no request runs too often, and that nothing runs without one."""
     verdict = Verdict("runs_are_bounded")
--- a/harness/soak/fleet.py
+++ b/harness/soak/fleet.py
@@ -18,6 +18,10 @@
 """Longest wait for a fleet's start; far more than a busy machine needs."""
 
 
+MEMORY_MB = 200
+"""Memory of each node's machine, within which its process has to stay."""
+
+MAX_DESCRIPTORS = 4100
 MAX_REPLACEMENTS = 20
 """Maximum number of nodes that are replaced in a run."""
 
@@ -123,6 +127,9 @@
             "[bounds]",
             f"grace_s = {TERMINATION_GRACE_S}",
             "lease_ms = 3000",
+            "[limits]",
+            f"memory_mb = {MEMORY_MB}",
+            f"max_fds = {MAX_DESCRIPTORS}",
         ]
         temporary_path = self.folder / f"{host}.new"
         temporary_path.write_text("\n".join(lines) + "\n")
--- a/harness/soak/soak_history.py
+++ b/harness/soak/soak_history.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from standins.platform_target import Journal
 
@@ -28,6 +28,8 @@
     """Times at which an unplanned fault began or ended, anywhere."""
     recovery_deadline_s: float
     """Time by which the fleet must have recovered from the last fault."""
+    peak_memory_bytes: dict[str, int] = field(default_factory=dict)
+    """Largest resident memory of a process, by node."""
 
     def is_fault_free(self, host: str, start_s: float, end_s: float) -> bool:
         """Whether no fault began or ended at a node in a span, or shortly before it.
--- a/src/laburnumpitch/policy/client_budget.py
+++ b/src/laburnumpitch/policy/client_budget.py
@@ -18,8 +18,9 @@
 DEFAULT_MEMORY_BYTES = 1024 * MB
 """Memory of a machine whose settings do not say it."""
 
-DEFAULT_DESCRIPTORS = 8192
-"""Descriptors of a machine whose settings do not say it."""
+DEFAULT_DESCRIPTORS = 12_500
+"""Descriptors of a machine whose settings do not say it: room for 4,096 connections at
+an address, as before there was a budget."""
 
 BUDGET_SHARE = 0.25
 """Share of the memory for what clients make a node hold. A process needs some 45 MB
@@ -108,8 +109,11 @@
 
     @property
     def max_body_bytes(self) -> int:
-        """Size of the largest body that is read, whatever the limit on bodies."""
-        return int(self.max_bytes * LARGE_SHARES[0])
+        """Size of the largest body that is read, whatever the limit on bodies.
+
+        A larger one might not get through while others have a part of the room.
+        """
+        return int(self.max_bytes * FIRST_SHARE)
 
 
 def make_sizes(
--- a/src/laburnumpitch/transport/http_server.py
+++ b/src/laburnumpitch/transport/http_server.py
@@ -28,6 +28,18 @@
 RequestHandler = Callable[[HttpRequest, Responder], Awaitable[None]]
 
 
+def forget_frames(error: BaseException | None) -> None:
+    """Remove the tracebacks of an error and of those that it followed.
+
+    They refer to frames with all that was read and written on a connection, and the
+    frames to the error. Garbage collections are rare, and would free them much later.
+    """
+    while error is not None:
+        previous = error.__context__
+        error.__traceback__ = error.__context__ = error.__cause__ = None
+        error = previous
+
+
 class HttpServer:
     """Accepts connections and calls a handler for each request.
 
@@ -147,9 +159,9 @@
         try:
             await connection.close(end)
         finally:
-            # The error's traceback refers to this frame, and to all that was read.
-            end = None
-            self.gate.close(connection.holding)
+            forget_frames(end)
+            forget_frames(reader.exception())
+            connection.release()
             self.connection_tasks.discard(task)
             self.connections.discard(connection)
 
--- a/src/laburnumpitch/transport/responder.py
+++ b/src/laburnumpitch/transport/responder.py
@@ -53,7 +53,8 @@
     ) -> None:
         self.connection = connection
         self.writer = writer
-        self.holder = holder
+        self.holder: AnswerHolder | None = holder
+        """None once the connection has ended."""
         self.has_started = False
         self.has_finished = False
         self.must_close = False
@@ -101,10 +102,15 @@
         Raises:
             TargetTimeoutError: If there is no room in time.
         """
-        if size > self.pending_bytes:
+        if size > self.pending_bytes and self.holder is not None:
             await self.holder.wait_for_answer_room(size - self.pending_bytes)
         if size != self.pending_bytes:
             self.pending_bytes = size
+            self.update_holding()
+
+    def update_holding(self) -> None:
+        """Count what the answer makes the node hold."""
+        if self.holder is not None:
             self.holder.update_holding()
 
     async def finish(self) -> None:
@@ -142,7 +148,7 @@
                 part = bytes(view[position : position + SLICE_BYTES])
                 position += len(part)
                 self.write_data(part)
-                self.holder.update_holding()
+                self.update_holding()
                 await self.drain()
         except asyncio.CancelledError:
             if not self.writer.is_closing():
--- a/src/laburnumpitch/transport/server_connection.py
+++ b/src/laburnumpitch/transport/server_connection.py
@@ -178,6 +178,12 @@
         self.responder = Responder(connection, self.writer, self)
         return True
 
+    def release(self) -> None:
+        """Return what the connection holds, and break the cycles of references."""
+        self.gate.close(self.holding)
+        self.unwatch_end()
+        self.responder.holder = self.previous_responder.holder = None
+
     def watch_end(self, handler_task: asyncio.Future[None]) -> None:
         """Cancel a handler when its client disconnects.
 
--- a/tests/harness/test_soak.py
+++ b/tests/harness/test_soak.py
@@ -14,6 +14,7 @@
 from harness.soak.__main__ import SoakOptions, run_soak
 from harness.soak.checks import check_all
 from harness.soak.fault_injector import MAX_FAULT_S
+from harness.soak.fleet import MEMORY_MB
 from harness.soak.operator import (
     ENGINE_SERVICE,
     ConfigurationChange,
@@ -54,6 +55,7 @@
             "whole_own_answers",
             "streams_in_order",
             "streams_of_one_build",
+            "nodes_within_memory",
         ):
             self.assertGreater(checked[name], 0, name)
 
@@ -365,6 +367,15 @@
                 ),
             },
         ),
+        (
+            "too_much_memory",
+            {
+                "name": "nodes_within_memory",
+                "history": make_history(
+                    [], [], peak_memory_bytes={HOST: MEMORY_MB * 1024 * 1024}
+                ),
+            },
+        ),
         (
             "not_served_at_the_end",
             {
--- a/tests/robustness/node_process.py
+++ b/tests/robustness/node_process.py
@@ -4,7 +4,6 @@
 
 import http.client
 import os
-import re
 import tempfile
 import time
 from collections.abc import Mapping
@@ -125,11 +124,6 @@
             finally:
                 connection.close()
 
-    def get_peak_rss_bytes(self) -> int:
-        """Return the largest size that the resident memory has had."""
-        status = Path(f"/proc/{self.process.popen.pid}/status").read_text()
-        return int(re.search(r"VmHWM:\s+(\d+) kB", status)[1]) * KB
-
     def watch(self) -> None:
         """Record the number of open descriptors; fail if the process has ended."""
         self.process.check_running()
@@ -152,7 +146,7 @@
     def check_bounds(self, node: NodeProcess) -> None:
         """Check that the node lives within its machine's memory and descriptors."""
         node.watch()
-        peak_mb = node.get_peak_rss_bytes() / KB / KB
+        peak_mb = node.process.get_peak_rss_bytes() / KB / KB
         rss_mb = node.process.get_rss_bytes() / KB / KB
         figures = f"peak {peak_mb:.0f} MB, now {rss_mb:.0f} MB, descriptors "
         print(f"{self.id()}: {figures}{node.max_descriptors}", flush=True)
