--- a/src/laburnumpitch/membership/control_client.py
+++ b/src/laburnumpitch/membership/control_client.py
@@ -97,6 +97,9 @@
             ) from None
         finally:
             calls.discard(call)
+            # The future keeps its error, and the error's traceback this frame with the
+            # request, which may be large.
+            del call
 
     def set_leader(self, name: str) -> None:
         """Assume that another replica leads; calls to the former one are given up."""
--- a/src/laburnumpitch/metrics.py
+++ b/src/laburnumpitch/metrics.py
@@ -81,6 +81,9 @@
     Metric("cold.granted", "counter", "requests", "Sends to cold targets granted."),
     Metric("cold.expired", "counter", "requests", "Sends stopped without a grant."),
     Metric("cold.local", "counter", "requests", "Sends to cold ones of the own share."),
+    Metric("client.closed", "counter", "connections", "Closed so that others go on."),
+    Metric("client.refused", "counter", "requests", "Refused as beyond a limit."),
+    Metric("client.held_bytes", "gauge", "bytes", "What clients make the node hold."),
     Metric("task.failed", "counter", "errors", "Unexpected errors of tasks."),
     Metric("quarantine.fingerprints", "gauge", "fingerprints", "Quarantined requests."),
 )
--- a/src/laburnumpitch/platform/control_api.py
+++ b/src/laburnumpitch/platform/control_api.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
+from contextlib import nullcontext
 from urllib.parse import unquote
 
 import msgspec
@@ -44,6 +46,9 @@
 WRITE_TIMEOUT_S = 2.0
 """Timeout of a change; the operator waits longer for a large one."""
 
+LARGE_CONFIGURATION_BYTES = 256 * 1024
+"""Size of a configuration above which one at a time is passed on."""
+
 JSON_HEADERS = [("content-type", "application/json")]
 
 
@@ -72,6 +77,9 @@
         self.leader_client = leader_client
         self.evacuation_calls = EvacuationCalls(leader_client, has_leader_contact)
         self.explain = explain
+        self.configuration_lock = asyncio.Lock()
+        """Held while a large configuration is passed on: each is copied several times
+        on its way to the leader, and forty of 1 MB at once took 150 MB."""
         self.log = get_logger()
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
@@ -108,9 +116,11 @@
         if request.path.startswith(EVACUATIONS_PATH):
             return await self.evacuation_calls.handle(request)
         if call == ("PUT", CONFIGURATION_PATH):
-            await self.leader_client.call(
-                PutConfiguration(request.body), WRITE_TIMEOUT_S
-            )
+            is_large = len(request.body) > LARGE_CONFIGURATION_BYTES
+            async with self.configuration_lock if is_large else nullcontext():
+                await self.leader_client.call(
+                    PutConfiguration(request.body), WRITE_TIMEOUT_S
+                )
             return 200, b"{}"
         if call == ("GET", CONFIGURATION_PATH):
             return await self.read_configuration()
--- a/src/laburnumpitch/platform/settings_file.py
+++ b/src/laburnumpitch/platform/settings_file.py
@@ -11,6 +11,7 @@
 
 from ..errors import SettingsError
 from ..logging import get_logger
+from ..policy.client_budget import DEFAULT_DESCRIPTORS, DEFAULT_MEMORY_BYTES
 from ..policy.cold_admission import ColdBounds
 from ..policy.leaving_targets import DRAIN_S
 from .wire_values import (
@@ -24,6 +25,10 @@
 
 MS_PER_S = 1000.0
 
+BYTES_PER_MB = 1024 * 1024
+MAX_MEMORY_MB = 1e9
+"""Largest memory of a machine."""
+
 MAX_RETRIES = 1e9
 """Largest number of retries, for each request or in a window."""
 
@@ -37,6 +42,7 @@
 """A port; the one after it has to be a port, too."""
 
 DurationS = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_DURATION_MS / MS_PER_S)]
+MemoryMb = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_MEMORY_MB)]
 Retries = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_RETRIES)]
 Requests = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_REQUESTS)]
 Ratio = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_RATIO)]
@@ -67,6 +73,13 @@
     """Further requests that a cold target may get in a second."""
 
 
+class WireLimits(msgspec.Struct):
+    """Limits of the machine; 0 if they are not known."""
+
+    memory_mb: MemoryMb = 0
+    max_fds: Count = 0
+
+
 class WireFaultTolerance(msgspec.Struct):
     """What may be lost at the same time."""
 
@@ -88,6 +101,7 @@
     data_dir: str = ""
     heartbeat_ms: Annotated[float, msgspec.Meta(ge=1.0, le=MAX_DURATION_MS)] = 1200
     bounds: WireBounds = msgspec.field(default_factory=WireBounds)
+    limits: WireLimits = msgspec.field(default_factory=WireLimits)
     fault_tolerance: WireFaultTolerance = msgspec.field(
         default_factory=WireFaultTolerance
     )
@@ -140,6 +154,10 @@
     """Further requests that a cold target may get in a second."""
     repeated_sends_share: float = 0.0
     """Late requests sent to a second target, at most, for each request; 0 for none."""
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
+    """Memory of the machine."""
+    max_descriptors: int = DEFAULT_DESCRIPTORS
+    """Descriptors that the process may have open."""
 
 
 def get_host(address: str) -> str:
@@ -147,6 +165,12 @@
     return address.rpartition(":")[0]
 
 
+def split_address(address: str) -> tuple[str, int]:
+    """Return the host and the port of `host:port`."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
 def check_addresses(path: str, wire: WireSettings) -> None:
     """Check that this node's addresses can be listened on.
 
@@ -218,4 +242,6 @@
         regions_by_data_centre=make_regions(wire),
         cold_overrun=bounds.cold_overrun,
         cold_slack=bounds.cold_slack,
+        memory_bytes=int(wire.limits.memory_mb * BYTES_PER_MB) or DEFAULT_MEMORY_BYTES,
+        max_descriptors=wire.limits.max_fds or DEFAULT_DESCRIPTORS,
     )
--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -100,7 +100,8 @@
         try:
             await self.try_targets()
         finally:
-            self.deadlines.release_reserved()
+            self.deadlines.close()
+            self.stream.close()
 
     async def try_targets(self) -> None:
         """Send the request to targets in turn until it is answered.
@@ -128,6 +129,8 @@
                 self.handle_rejection(self.attempt.target, error)
             except TargetError as error:
                 self.handle_failure(self.attempt, error)
+                if not self.may_retry and self.fallback is None:
+                    raise
             may_retry = self.may_retry and self.has_retry_left()
             if self.fallback is not None and not may_retry:
                 await self.deliver_fallback()
@@ -383,5 +386,3 @@
         self.may_retry = self.has_retry_left() and self.services.try_spend_retry(
             self.admitted.service
         )
-        if not self.may_retry and self.fallback is None:
-            raise error
