--- a/tests/platform/test_settings_file.py
+++ b/tests/platform/test_settings_file.py
@@ -9,6 +9,13 @@
 
 from laburnumpitch.errors import SettingsError
 from laburnumpitch.platform.settings_file import FleetSettings, read_settings
+from laburnumpitch.policy.client_budget import (
+    DEFAULT_DESCRIPTORS,
+    DEFAULT_MEMORY_BYTES,
+    MB,
+)
+
+DEFAULTS = (DEFAULT_MEMORY_BYTES, DEFAULT_DESCRIPTORS)
 
 SOUND = """
 node_name = "n1"
@@ -64,6 +71,25 @@
         self.assertEqual("n1", read_text(self.text).node_id)
 
 
+class MachineTest(testtools.TestCase):
+    """Limits of the machine, by which what clients may hold is bounded."""
+
+    scenarios = [
+        ("absent", {"limits": "", "expected": DEFAULTS}),
+        ("not_known", {"limits": "memory_mb = 0\nmax_fds = 0", "expected": DEFAULTS}),
+        (
+            "known",
+            {"limits": "memory_mb = 128\nmax_fds = 4100", "expected": (128 * MB, 4100)},
+        ),
+    ]
+
+    def test_limits(self) -> None:
+        """They are read, and a machine that is not known is a large one."""
+        settings = read_text(f"{SOUND}[limits]\n{self.limits}\n")
+        found = (settings.memory_bytes, settings.max_descriptors)
+        self.assertEqual(self.expected, found)
+
+
 class SeedTest(testtools.TestCase):
     """Seeds among which one is odd."""
 
