Give each thread its own receive buffer

Cause: one buffer for the whole process; event loops of several threads, as in the harness, overwrote what another had received and not copied yet: an operator's answer had the bytes of a stream. A node has one event loop, so no node mixed answers. Change: a buffer for each thread.

--- a/src/laburnumpitch/transport/connection_reader.py
+++ b/src/laburnumpitch/transport/connection_reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import threading
 import time
 from collections.abc import Callable
 
@@ -12,15 +13,25 @@
 PAUSE_BYTES = 16 * 1024
 """Receiving pauses while more than twice this is unread."""
 
-_receive_buffer = memoryview(bytearray(CHUNK_BYTES))
-"""Buffer that all sockets are read into. What was received is copied out of it before
-another socket is read. A new buffer for each read, as asyncio makes, would be as large
-as the largest one."""
+
+class ReceiveBuffer(threading.local):
+    """Buffer that all sockets of a thread's event loop are read into.
+
+    What was received is copied out of it before another socket is read. A new buffer
+    for each read, as asyncio makes, would be as large as the largest one. Event loops
+    of several threads need one each, or a read of one overwrites what another received.
+    """
+
+    def __init__(self) -> None:
+        self.view = memoryview(bytearray(CHUNK_BYTES))
+
+
+_receive_buffer = ReceiveBuffer()
 
 
 def get_receive_buffer(max_bytes: int) -> memoryview:
     """Return a buffer for one read from a socket."""
-    return _receive_buffer[:max_bytes]
+    return _receive_buffer.view[:max_bytes]
 
 
 class ConnectionReader(asyncio.StreamReader):
