RPC: close the socket of a client whose address is invalid

Cause: the socket stayed open in a reference cycle, and a stopping process waited without end for it when it ended the ZeroMQ context. Change: the socket is closed if connecting fails.

--- a/src/laburnumpitch/transport/rpc.py
+++ b/src/laburnumpitch/transport/rpc.py
@@ -233,7 +233,12 @@
             context, zmq.DEALER, "rpc_client", self.receive_answer
         )
         configure_client_socket(self.socket.socket)
-        self.socket.socket.connect(f"tcp://{address}")
+        try:
+            self.socket.socket.connect(f"tcp://{address}")
+        except zmq.ZMQError:
+            # An open socket would keep the context from ending.
+            self.socket.close()
+            raise
         self.socket.start()
         self.request_numbers = itertools.count(1)
         self.pending_requests: dict[bytes, PendingCall] = {}
--- a/tests/transport/test_codec.py
+++ b/tests/transport/test_codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import threading
 
 import testtools
 import zmq.asyncio
@@ -96,3 +97,20 @@
         """The caller gets the error, and the connection still works."""
         request = Depart("\ud800")
         self.assertIsInstance(self.run_call(self.answer_done, request), CodecError)
+
+
+class InvalidAddressTest(testtools.TestCase):
+    """A client whose address cannot be connected to."""
+
+    def test_context_ends(self) -> None:
+        """Guards against a socket left open, for which a stopping process waits."""
+        context = zmq.Context()
+
+        async def make_client() -> None:
+            RpcClient(context, "")
+
+        self.assertRaises(zmq.ZMQError, asyncio.run, make_client())
+        thread = threading.Thread(target=context.term, daemon=True)
+        thread.start()
+        thread.join(TIMEOUT_S)
+        self.assertFalse(thread.is_alive())
