--- a/review/common-2/lab.py
+++ b/review/common-2/lab.py
@@ -38,6 +38,7 @@
 """Time from the start of the machines to the start of the traffic."""
 
 HEARTBEAT_MS = 1200
+LAST_CHUNK = b"\r\n0\r\n\r\n"
 SETTINGS = """\
 node_name = "{name}"
 role = "node"
@@ -181,18 +182,18 @@
 
 
 async def read_body(reader: asyncio.StreamReader, headers: dict[str, str]) -> bytes:
-    """Return the body of an answer."""
+    """Return the body of an answer, that of a stream with its chunks."""
     if "content-length" in headers:
         return await reader.readexactly(int(headers["content-length"]))
     if headers.get("transfer-encoding", "").lower() != "chunked":
         return await reader.read()
     body = b""
-    while True:
-        size = int((await reader.readuntil(b"\r\n")).split(b";")[0], 16)
-        body += await reader.readexactly(size)
-        await reader.readexactly(2)
-        if not size:
-            return body
+    while not body.endswith(LAST_CHUNK):
+        data = await reader.read(65536)
+        if not data:
+            raise ConnectionResetError("closed without a whole answer")
+        body += data
+    return body
 
 
 class Node:
