--- a/review/6/play.py
+++ b/review/6/play.py
@@ -23,7 +23,7 @@
 
 CALM_S = 4.0
 ROUNDS = 8
-"""Freezes, of one node after the other."""
+"""Freezes, of one machine of the core after the other."""
 
 STREAMS_PER_S = 1
 BUSY_STREAMS_PER_S = 16
@@ -148,8 +148,9 @@
         for node in lab.nodes:
             lab.spawn(send_streams(lab, node, busy))
         has_held = True
+        core = [node for node in lab.nodes if node.has_disk]
         for number in range(ROUNDS):
-            node = lab.nodes[-1 - number % len(lab.nodes)]
+            node = core[number % len(core)]
             busy[:] = [node]
             await asyncio.sleep(CALM_S)
             has_held = await disturb(lab, node)
