HTTP client: end the reading of an answer that misses its deadline

Cause: past a request's deadline, receive_event asked for the next one, got the same, and went on since data had arrived after the first look; the data that counted was used up, so the next look timed out at once. No call of this loop waits, so the event loop never ran again.

Ruled out: the readers of clients' requests, RPC, stores and reports, which ask for no further deadline or wait in each pass.

Change: data that had arrived by a missed deadline is counted once, and a next deadline that has passed is taken only if data arrived, or the connection ended, while it was chosen.

--- a/src/laburnumpitch/transport/http_connection.py
+++ b/src/laburnumpitch/transport/http_connection.py
@@ -70,10 +70,9 @@
         """Called when the current answer misses a deadline."""
         self.busy_events = 0
         """Events read since this connection last waited."""
-        self.overrun_deadline_s: float | None = None
-        """Deadline after which only data that had arrived is read."""
-        self.overrun_bytes = 0
-        """Bytes that had arrived by that deadline and were not read yet."""
+        self.overrun_bytes: int | None = None
+        """Bytes that had arrived by a missed deadline and were not read yet; None while
+        no deadline has passed."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set the socket's options."""
@@ -183,7 +182,7 @@
         self.answer_bytes = 0
         self.body_bytes = 0
         self.max_answer_bytes = max_bytes
-        self.overrun_deadline_s = None
+        self.overrun_bytes = None
 
     async def receive_event(self, deadline_s: float) -> h11.Event:
         """Return the next event of the answer.
@@ -203,10 +202,27 @@
             except TargetTimeoutError:
                 if self.extend_deadline is None:
                     raise
-                deadline_s = await self.extend_deadline()
-                if deadline_s <= self.loop.time() and self.is_idle:
+                deadline_s = await self.choose_next_deadline_s()
+                if deadline_s is None:
                     raise
 
+    async def choose_next_deadline_s(self) -> float | None:
+        """Return the deadline after a missed one; None if the answer is given up.
+
+        One that has passed is returned only if further data arrived, or the connection
+        ended, while it was chosen. A sender that never pauses would else be read
+        without end.
+        """
+        known_bytes = self.unread_bytes
+        deadline_s = await self.extend_deadline()
+        if deadline_s > self.loop.time():
+            return deadline_s
+        is_open = not (self.is_input_closed or self.transport.is_closing())
+        if is_open and self.unread_bytes <= known_bytes:
+            return None
+        self.overrun_bytes = None
+        return deadline_s
+
     async def receive_event_by(self, deadline_s: float) -> h11.Event:
         """Return the next event of the answer if it is complete by a deadline.
 
@@ -244,7 +260,8 @@
                 raise TargetError(f"connection lost: {self.error}", has_died=True)
             data = self.pop_unread_data()
             self.answer_bytes += len(data)
-            self.overrun_bytes -= len(data)
+            if self.overrun_bytes is not None:
+                self.overrun_bytes -= len(data)
             self.has_processed_eof = not data
             self.h11_connection.receive_data(data)
 
@@ -275,9 +292,9 @@
         """
         wait_s = deadline_s - self.loop.time()
         if wait_s > 0 or self.is_input_closed:
+            self.overrun_bytes = None
             return max(0.0, wait_s)
-        if self.overrun_deadline_s != deadline_s:
-            self.overrun_deadline_s = deadline_s
+        if self.overrun_bytes is None:
             self.overrun_bytes = self.unread_bytes
         elif self.overrun_bytes <= 0:
             raise TargetTimeoutError("the answer did not end in time")
