Fleet: a departure that a new leader acknowledges reaches all nodes

Cause: a new leader began with an empty table of targets, and a departure of an unknown target changed nothing and was acknowledged.

Ruled out: nodes out of touch, and a lost call (all nodes followed the new leader, which answered 200).

Change: a new leader takes over the targets that its node knows and publishes each with the first call that concerns it; an unknown departure is published for any incarnation. Calls of leaving targets wait for the nodes of the former leader, also when sent again, and fail with the term.

--- a/src/laburnumpitch/fleet/fleet_publisher.py
+++ b/src/laburnumpitch/fleet/fleet_publisher.py
@@ -8,32 +8,23 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from msgspec.structs import replace
 
 from .._tasks import contain_errors
 from ..control.replica import Replica
-from ..errors import LaburnumpitchError
+from ..errors import LaburnumpitchError, NotLeaderError
 from ..logging import get_logger
 from ..policy.weight_history import WeightHistory
 from .assignments import assign_hosts
+from .crash_messages import PiecesCompleted, RequestCompleted, TargetDied
 from .load_totals import LoadTotals
-from .messages import (
-    FleetFacts,
-    Follow,
-    FollowAnswer,
-    NodeRecord,
-    PiecesCompleted,
-    RequestCompleted,
-    TargetDied,
-    TargetLeaving,
-    TargetUnreachable,
-)
+from .messages import FleetFacts, Follow, FollowAnswer, NodeRecord
 from .quarantine import Quarantine
 from .subscriptions import MIN_HOLD_S, SubscriberState, Subscriptions
-from .target_table import TargetTable
+from .target_table import TOMBSTONE_S, TargetEntry, TargetTable
 
 MAX_HOLD_S = 0.6
 """The longest time, which is under half of `LEADER_TIMEOUT_S`."""
@@ -49,10 +40,6 @@
 """Interval of checks for targets that no longer announce themselves, for unreachable
 nodes and for changed assignments."""
 
-UNREACHABLE_INTERVALS = 1.2
-"""Announcement intervals without an announcement after which a single node's report
-is enough to mark a target as unreachable."""
-
 ASSIGNMENT_DELAY_S = 1.0
 """Time after an election before the leader makes assignments, so that nodes can
 subscribe first."""
@@ -81,6 +68,8 @@
             so that assignments to live nodes and quarantines stay.
         is_known_service: Returns whether a service is configured.
         get_time_s: Monotonic time.
+        list_targets: Returns this node's copy of the targets, which a new term takes
+            into account where it has not heard of them itself.
     """
 
     def __init__(
@@ -91,6 +80,7 @@
         get_facts: Callable[[], FleetFacts | None],
         is_known_service: Callable[[str], bool],
         get_time_s: Callable[[], float],
+        list_targets: Callable[[], Iterable[TargetEntry]] = tuple,
     ) -> None:
         self.replica = replica
         self.announce_interval_s = announce_interval_s
@@ -98,6 +88,7 @@
         self.get_facts = get_facts
         self.is_known_service = is_known_service
         self.get_time_s = get_time_s
+        self.list_targets = list_targets
         self.log = get_logger()
         self.change_event = asyncio.Event()
         """Set when there is a change, for which calls of nodes are held."""
@@ -105,10 +96,11 @@
         self.reset(-1)
 
     def reset(self, term: int) -> None:
-        """Start a term with what nodes know of assignments and quarantines."""
+        """Start a term with what this node knows from the former leader."""
         self.term = term
         self.started_s = self.get_time_s()
         self.targets = TargetTable(self.announce_interval_s, self.is_known_service)
+        self.targets.adopt(self.list_targets(), self.started_s)
         known_facts = self.get_facts()
         self.quarantine = Quarantine(known_facts, self.started_s)
         self.quarantine_updated_s = self.started_s
@@ -242,6 +234,23 @@
             context_epoch=state.context_epoch,
         )
 
+    async def wait_target_known(self, target_id: str) -> None:
+        """Wait until every reachable node has the newest record of a target.
+
+        If the target leaves, the nodes that followed the former leader count as
+        reachable right after an election, since they go on sending it requests.
+
+        Raises:
+            NotLeaderError: If the term has ended, and with it the effect of the change.
+        """
+        term, entry = self.term, self.targets.entries[target_id]
+        if not entry.record.is_staying:
+            await self.subscriptions.wait_known_nodes()
+        await self.subscriptions.wait_confirmed(entry.changed_sequence)
+        self.check_term()
+        if self.term != term:
+            raise NotLeaderError(self.replica.get_leader_name())
+
     async def run(self) -> None:
         """Update the soft state at intervals while this node leads, until cancelled."""
         while True:
@@ -262,8 +271,11 @@
 
     def check_targets(self) -> None:
         """Publish which targets no longer announce themselves."""
-        if self.is_settled and self.targets.check_announcements(self.get_time_s()):
+        now_s = self.get_time_s()
+        if self.is_settled and self.targets.check_announcements(now_s):
             self.publish()
+        if now_s - self.started_s > TOMBSTONE_S:
+            self.targets.former.clear()
 
     def drop_stale_loads(self) -> None:
         """Remove the load reports of unreachable nodes."""
@@ -272,33 +284,6 @@
             if host not in live_hosts:
                 self.loads.remove_report(host)
 
-    def handle_target_unreachable(self, notice: TargetUnreachable) -> None:
-        """Mark a target that a node cannot reach and that has not announced itself."""
-        self.check_term()
-        entry = self.targets.entries.get(notice.target_id)
-        if entry is None:
-            return
-        since_last_seen_s = self.get_time_s() - entry.last_seen_s
-        if since_last_seen_s < self.announce_interval_s * UNREACHABLE_INTERVALS:
-            return
-        if self.targets.mark_not_announcing(notice.target_id):
-            self.log.info(
-                "target_unreachable",
-                target=notice.target_id,
-                silence_s=round(since_last_seen_s, 2),
-            )
-            self.notify_change()
-
-    def handle_target_leaving(self, notice: TargetLeaving) -> None:
-        """Mark a target's incarnation that said in an answer that it is leaving."""
-        self.check_term()
-        entry = self.targets.entries.get(notice.target_id)
-        if entry is None or entry.record.born_ms != notice.born_ms:
-            return
-        if self.targets.update(notice.target_id, has_said_leaving=True):
-            self.log.info("target_said_leaving", target=notice.target_id)
-            self.notify_change()
-
     def update_assignments(self) -> None:
         """Assign stores and coordinators to reachable nodes that have a disk.
 
--- a/src/laburnumpitch/fleet/leader_service.py
+++ b/src/laburnumpitch/fleet/leader_service.py
@@ -18,6 +18,7 @@
 from ..logging import get_logger
 from ..relay.configuration import RoutingConfiguration
 from ..transport.rpc import RpcServer
+from .crash_messages import PiecesCompleted, RequestCompleted, TargetDied
 from .fleet_publisher import FleetPublisher
 from .messages import (
     Announce,
@@ -28,19 +29,17 @@
     FollowAnswer,
     JoinCore,
     JoinCoreAnswer,
-    PiecesCompleted,
     PutConfiguration,
     PutWeights,
     ReadConfiguration,
-    RequestCompleted,
     StoreConfiguration,
     StoreWeights,
-    TargetDied,
     TargetLeaving,
     TargetRecord,
     TargetUnreachable,
 )
 from .replica_manager import ReplicaManager
+from .target_notices import handle_target_leaving, handle_target_unreachable
 
 COMPRESSION_LEVEL = 1
 """zlib level; a configuration is compressed once and sent to every node."""
@@ -139,25 +138,30 @@
     async def on_target_unreachable(self, notice: TargetUnreachable) -> None:
         """Handle a node's notice that it cannot reach a target."""
         _, publisher = self.require_leader_state()
-        publisher.handle_target_unreachable(notice)
+        handle_target_unreachable(publisher, notice)
 
     async def on_target_leaving(self, notice: TargetLeaving) -> None:
         """Handle a node's notice that a target said that it is leaving."""
         _, publisher = self.require_leader_state()
-        publisher.handle_target_leaving(notice)
+        handle_target_leaving(publisher, notice)
 
     async def on_announce(self, call: Announce) -> AnnounceAnswer:
-        """Apply an announcement; answer once every reachable node has the change."""
-        replica, publisher = self.require_leader_state()
+        """Apply an announcement; answer once every reachable node has the change.
+
+        An announcement that is sent again waits for the same change.
+        """
+        _, publisher = self.require_leader_state()
         previous = publisher.targets.entries.get(call.record.target_id)
         is_cold_limited = self.has_cold_limit(call.record.service)
-        if publisher.targets.apply_announcement(
+        is_changed = publisher.targets.apply_announcement(
             call.record, publisher.get_time_s(), is_cold_limited
-        ):
+        )
+        if is_changed:
             self.log_target_change(call.record, previous.record if previous else None)
             publisher.notify_change()
-            await publisher.subscriptions.wait_confirmed(publisher.sequence)
-            replica.require_leader()
+        entry = publisher.targets.entries.get(call.record.target_id)
+        if entry is not None and (is_changed or not entry.record.is_staying):
+            await publisher.wait_target_known(call.record.target_id)
         return AnnounceAnswer(self.announce_address)
 
     def log_target_change(
@@ -176,12 +180,12 @@
 
     async def on_depart(self, call: Depart) -> AnnounceAnswer:
         """Mark a target as gone; answer once every reachable node has the change."""
-        replica, publisher = self.require_leader_state()
-        if publisher.targets.mark_gone(call.target_id, publisher.get_time_s()):
-            self.log.info("target_gone", target=call.target_id)
+        _, publisher = self.require_leader_state()
+        is_known = call.target_id in publisher.targets.entries
+        if publisher.targets.depart(call.target_id, publisher.get_time_s()):
+            self.log.info("target_gone", target=call.target_id, heard_of=is_known)
             publisher.notify_change()
-            await publisher.subscriptions.wait_confirmed(publisher.sequence)
-            replica.require_leader()
+        await publisher.wait_target_known(call.target_id)
         return AnnounceAnswer(self.announce_address)
 
     async def on_put_configuration(self, call: PutConfiguration) -> ConfigurationText:
--- a/src/laburnumpitch/fleet/messages.py
+++ b/src/laburnumpitch/fleet/messages.py
@@ -75,6 +75,11 @@
     returns: int = 0
     """How often the target has announced itself again after silence, in this term."""
 
+    @property
+    def is_staying(self) -> bool:
+        """Whether the target has neither left nor said that it leaves."""
+        return not (self.is_leaving or self.is_gone)
+
 
 class Announce(Message):
     """A target's announcement on its way to the leader."""
@@ -238,28 +243,6 @@
     version: int
 
 
-class TargetDied(Message):
-    """Reports that a target died while it had a request."""
-
-    fingerprint: str
-    target_id: str
-    born_ms: int
-    pieces: list[str] = field(default_factory=list)
-    """The prompt's shared pieces that may be the cause, in sequence."""
-
-
-class PiecesCompleted(Message):
-    """Reports that a target has completed an answer on suspect pieces."""
-
-    pieces: list[str]
-
-
-class RequestCompleted(Message):
-    """Reports that a target has answered a suspect request."""
-
-    fingerprint: str
-
-
 class GrantContext(Message):
     """Asks a store's owner which parts a request may read and save there."""
 
--- a/src/laburnumpitch/fleet/quarantine.py
+++ b/src/laburnumpitch/fleet/quarantine.py
@@ -4,7 +4,8 @@
 
 from ..logging import get_logger
 from ..policy.crash_attribution import CrashAttribution
-from .messages import FleetFacts, TargetDied
+from .crash_messages import TargetDied
+from .messages import FleetFacts
 
 MAX_TARGET_DEATHS = 3
 """Number of targets that died while they ran the same request, from which on the
--- a/src/laburnumpitch/fleet/replica_manager.py
+++ b/src/laburnumpitch/fleet/replica_manager.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import shutil
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 
 from .._tasks import cancel_and_wait, start_loop
@@ -21,6 +21,7 @@
 from .fleet_state import FleetState
 from .leader_client import LeaderClient
 from .messages import FleetFacts, JoinCore, NodeRecord
+from .target_table import TargetEntry
 from .voter_set import VoterSet
 
 JOIN_INTERVAL_S = 0.3
@@ -57,6 +58,7 @@
         list_members: Returns the members as the leader has published them; none
             without contact with a leader.
         is_known_service: Returns whether a service is configured.
+        list_targets: Returns this node's copy of the targets.
         get_time_s: Monotonic time.
     """
 
@@ -74,6 +76,7 @@
         get_facts: Callable[[], FleetFacts | None],
         list_members: Callable[[], list[Member]],
         is_known_service: Callable[[str], bool],
+        list_targets: Callable[[], Iterable[TargetEntry]],
         get_time_s: Callable[[], float],
     ) -> None:
         self.node = node
@@ -88,6 +91,7 @@
         self.get_facts = get_facts
         self.list_members = list_members
         self.is_known_service = is_known_service
+        self.list_targets = list_targets
         self.get_time_s = get_time_s
         self.replica: Replica | None = None
         self.publisher: FleetPublisher | None = None
@@ -157,6 +161,7 @@
             self.get_facts,
             self.is_known_service,
             self.get_time_s,
+            self.list_targets,
         )
         self.publisher_task = start_loop("fleet_publisher", self.publisher.run)
         self.replica = replica
--- a/src/laburnumpitch/fleet/target_table.py
+++ b/src/laburnumpitch/fleet/target_table.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from itertools import chain
 from typing import Any
 
 from msgspec.structs import replace
@@ -31,6 +32,10 @@
 """Time without an announcement after which a target counts as gone, until it announces
 itself again."""
 
+ANY_INCARNATION = 0
+"""`born_ms` of the record of a departed target that the leader does not know; nodes
+apply it to the incarnation that they have."""
+
 
 @dataclass
 class TargetEntry:
@@ -61,6 +66,9 @@
         self.announce_interval_s = announce_interval_s
         self.is_known_service = is_known_service
         self.entries: dict[str, TargetEntry] = {}
+        self.former: dict[str, TargetRecord] = {}
+        """Targets of a former leader that were not heard of in this term. They are
+        published with the first call that concerns them."""
         self.sequence = 0
 
     def get_records(self) -> list[TargetRecord]:
@@ -71,6 +79,33 @@
         """Return the records that changed after a sequence number."""
         return [e.record for e in self.entries.values() if e.changed_sequence > after]
 
+    def adopt(self, entries: Iterable[TargetEntry], now_s: float) -> None:
+        """Remember what a node knows from a former leader, for the start of a term.
+
+        What only that leader did, such as loads of weights, is not remembered.
+        """
+        for entry in entries:
+            record = entry.record
+            if not record.is_gone:
+                record = replace(
+                    record,
+                    is_silent=False,
+                    is_loading=False,
+                    is_retiring=False,
+                    returns=0,
+                )
+            elif now_s - entry.last_seen_s > TOMBSTONE_S:
+                continue
+            self.former[record.target_id] = record
+
+    def restore(self, target_id: str, now_s: float) -> bool:
+        """Publish a target of a former leader; return whether it was one."""
+        record = self.former.pop(target_id, None)
+        if record is None:
+            return False
+        self.put(record, now_s)
+        return True
+
     def apply_announcement(
         self, record: TargetRecord, now_s: float, is_cold_limited: bool = False
     ) -> bool:
@@ -85,6 +120,14 @@
         Returns:
             Whether it changes anything that other nodes act on.
         """
+        is_restored = self.restore(record.target_id, now_s)
+        is_changed = self.merge_announcement(record, now_s, is_cold_limited)
+        return is_changed or is_restored
+
+    def merge_announcement(
+        self, record: TargetRecord, now_s: float, is_cold_limited: bool
+    ) -> bool:
+        """Apply an announcement of a target, as `apply_announcement` does."""
         entry = self.entries.get(record.target_id)
         if entry is None:
             if self.is_superseded(record):
@@ -135,11 +178,12 @@
 
     def is_superseded(self, record: TargetRecord) -> bool:
         """Whether a target that started later has the record's address."""
+        known = chain((e.record for e in self.entries.values()), self.former.values())
         return any(
-            other.record.address == record.address
-            and other.record.born_ms > record.born_ms
-            and self.is_known_service(other.record.service)
-            for other in self.entries.values()
+            other.address == record.address
+            and other.born_ms > record.born_ms
+            and self.is_known_service(other.service)
+            for other in known
         )
 
     def mark_gone(
@@ -163,11 +207,24 @@
         self.put(record, now_s)
         return True
 
+    def depart(self, target_id: str, now_s: float) -> bool:
+        """Mark a target as gone that has departed; return whether that changes it.
+
+        The leader may not have heard of the target, while other nodes send it requests.
+        """
+        is_restored = self.restore(target_id, now_s)
+        if target_id in self.entries:
+            return self.mark_gone(target_id, now_s) or is_restored
+        self.put(make_departed(target_id), now_s)
+        return True
+
     def apply_changes(self, records: Iterable[TargetRecord], now_s: float) -> None:
         """Apply records that the leader sent, except those that are out of date."""
         for record in records:
             entry = self.entries.get(record.target_id)
-            if entry is None or not is_older(record, entry.record):
+            if record.is_gone and record.born_ms == ANY_INCARNATION:
+                self.mark_gone(record.target_id, now_s)
+            elif entry is None or not is_older(record, entry.record):
                 self.put(record, now_s)
 
     def mark_not_announcing(self, target_id: str) -> bool:
@@ -208,6 +265,20 @@
         return is_changed
 
 
+def make_departed(target_id: str) -> TargetRecord:
+    """Return the record of a departed target of which nothing else is known."""
+    return TargetRecord(
+        target_id=target_id,
+        service="",
+        address="",
+        data_centre="",
+        born_ms=ANY_INCARNATION,
+        sequence=0,
+        slots=0,
+        is_gone=True,
+    )
+
+
 def is_older(record: TargetRecord, current: TargetRecord) -> bool:
     """Whether a record describes an earlier state than the current one."""
     if record.born_ms != current.born_ms:
--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -163,6 +163,7 @@
             self.fleet_view.get_facts,
             self.list_members,
             self.fleet_view.is_known_service,
+            self.fleet_view.targets.entries.values,
             get_boottime_s,
         )
 
--- a/src/laburnumpitch/relay/crash_reports.py
+++ b/src/laburnumpitch/relay/crash_reports.py
@@ -6,8 +6,9 @@
 from collections.abc import Callable
 
 from ..errors import QuarantinedError, TargetError
+from ..fleet.crash_messages import PiecesCompleted, RequestCompleted, TargetDied
 from ..fleet.fleet_view import FleetView
-from ..fleet.messages import PiecesCompleted, RequestCompleted, TargetDied, TargetRecord
+from ..fleet.messages import TargetRecord
 from ..logging import get_logger
 from ..policy.completed_pieces import CompletedPieces
 from ..transport.http_client import HttpClientPool
--- a/tests/fleet/test_fleet_publisher.py
+++ b/tests/fleet/test_fleet_publisher.py
@@ -8,13 +8,14 @@
 import testtools
 from msgspec.structs import replace
 
+from laburnumpitch.fleet.crash_messages import TargetDied
 from laburnumpitch.fleet.fleet_publisher import (
     MAX_HOLD_S,
     QUARANTINE_INTERVAL_S,
     FleetPublisher,
 )
 from laburnumpitch.fleet.fleet_view import LEADER_TIMEOUT_S
-from laburnumpitch.fleet.messages import FleetFacts, Follow, NodeRecord, TargetDied
+from laburnumpitch.fleet.messages import FleetFacts, Follow, NodeRecord
 from laburnumpitch.fleet.subscriptions import (
     KNOWN_NODES_TIMEOUT_S,
     MIN_HOLD_S,
--- a/tests/fleet/test_quarantine.py
+++ b/tests/fleet/test_quarantine.py
@@ -4,7 +4,8 @@
 
 import testtools
 
-from laburnumpitch.fleet.messages import FleetFacts, TargetDied
+from laburnumpitch.fleet.crash_messages import TargetDied
+from laburnumpitch.fleet.messages import FleetFacts
 from laburnumpitch.fleet.quarantine import QUARANTINE_S, Quarantine
 from laburnumpitch.policy.crash_attribution import CONFIRM_S, MIN_CRASHES
 
--- a/tests/relay/test_crash_reports.py
+++ b/tests/relay/test_crash_reports.py
@@ -4,7 +4,11 @@
 
 from dataclasses import replace
 
-from laburnumpitch.fleet.messages import PiecesCompleted, RequestCompleted, TargetDied
+from laburnumpitch.fleet.crash_messages import (
+    PiecesCompleted,
+    RequestCompleted,
+    TargetDied,
+)
 from laburnumpitch.transport.http_server import HttpRequest
 
 from .relay_case import CONFIGURATION, Crash, RelayCase, make_answer
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -6,7 +6,7 @@
 import time
 
 from laburnumpitch.errors import TargetError
-from laburnumpitch.fleet.messages import TargetDied
+from laburnumpitch.fleet.crash_messages import TargetDied
 from laburnumpitch.transport.http_server import Headers
 
 from .relay_case import Crash, RelayCase, make_answer
