Quarantine: counts of crashes outlast the leader

Cause: deaths are counted in the leader's memory, and a new leader began at 0; a report to a leader that ended was lost.

Ruled out: fingerprints that differ between nodes, and nodes that miss a quarantine (three crashes suffice without the kills).

Change: the facts carry the deaths of suspect requests; nodes remember the deaths that they reported and report them to each new leader again, with ages, for requests and for pieces of prompts. A report that no leader got is repeated.

--- a/src/laburnumpitch/fleet/crash_messages.py
+++ b/src/laburnumpitch/fleet/crash_messages.py
@@ -17,6 +17,20 @@
     """The prompt's shared pieces that may be the cause, in sequence."""
 
 
+class PastDeath(Message):
+    """The death of a target that a node has reported before."""
+
+    notice: TargetDied
+    age_s: float
+    """Time since the node found it."""
+
+
+class PastDeaths(Message):
+    """Reports to a new leader what a node had reported to former ones."""
+
+    deaths: list[PastDeath]
+
+
 class PiecesCompleted(Message):
     """Reports that a target has completed an answer on suspect pieces."""
 
--- a/src/laburnumpitch/fleet/fleet_publisher.py
+++ b/src/laburnumpitch/fleet/fleet_publisher.py
@@ -19,7 +19,7 @@
 from ..logging import get_logger
 from ..policy.weight_history import WeightHistory
 from .assignments import assign_hosts
-from .crash_messages import PiecesCompleted, RequestCompleted, TargetDied
+from .crash_messages import PastDeaths, PiecesCompleted, RequestCompleted, TargetDied
 from .load_totals import LoadTotals
 from .messages import FleetFacts, Follow, FollowAnswer, NodeRecord
 from .quarantine import Quarantine
@@ -325,6 +325,7 @@
             quarantined_pieces=list(self.quarantine.pieces),
             suspect_pieces=self.quarantine.list_suspect_pieces(),
             suspect_requests=self.quarantine.list_suspect_requests(),
+            suspect_deaths=self.quarantine.list_suspect_deaths(),
             leader_host=self.replica.get_leader_name(),
             builds=dict(state.builds) if self.may_record_builds() else None,
             evacuated=list(state.evacuated),
@@ -358,6 +359,14 @@
         self.quarantine.record_death(notice, self.get_time_s())
         self.update_quarantine()
 
+    def handle_past_deaths(self, report: PastDeaths) -> None:
+        """Record deaths that a node had reported to former leaders."""
+        self.check_term()
+        now_s = self.get_time_s()
+        for death in report.deaths:
+            self.quarantine.record_death(death.notice, now_s, death.age_s)
+        self.update_quarantine()
+
     def update_quarantine(self) -> None:
         """Publish changed quarantines and suspects, at a limited rate."""
         now_s = self.get_time_s()
--- a/src/laburnumpitch/fleet/leader_service.py
+++ b/src/laburnumpitch/fleet/leader_service.py
@@ -18,7 +18,7 @@
 from ..logging import get_logger
 from ..relay.configuration import RoutingConfiguration
 from ..transport.rpc import RpcServer
-from .crash_messages import PiecesCompleted, RequestCompleted, TargetDied
+from .crash_messages import PastDeaths, PiecesCompleted, RequestCompleted, TargetDied
 from .fleet_publisher import FleetPublisher
 from .messages import (
     Announce,
@@ -85,6 +85,7 @@
         server.on(ReadConfiguration, self.on_read_configuration)
         server.on(PutWeights, self.on_put_weights)
         server.on(TargetDied, self.on_target_died)
+        server.on(PastDeaths, self.on_past_deaths)
         server.on(PiecesCompleted, self.on_pieces_completed)
         server.on(RequestCompleted, self.on_request_completed)
         server.on(TargetUnreachable, self.on_target_unreachable)
@@ -125,6 +126,11 @@
         _, publisher = self.require_leader_state()
         publisher.handle_target_death(notice)
 
+    async def on_past_deaths(self, report: PastDeaths) -> None:
+        """Record the deaths that a node had reported to former leaders."""
+        _, publisher = self.require_leader_state()
+        publisher.handle_past_deaths(report)
+
     async def on_pieces_completed(self, notice: PiecesCompleted) -> None:
         """Clear pieces on which a target has completed an answer."""
         _, publisher = self.require_leader_state()
--- a/src/laburnumpitch/fleet/messages.py
+++ b/src/laburnumpitch/fleet/messages.py
@@ -140,6 +140,8 @@
     """Pieces that may crash targets; nodes report completed answers on them."""
     suspect_requests: list[str] = field(default_factory=list)
     """Fingerprints of requests that may crash targets; nodes report their answers."""
+    suspect_deaths: dict[str, list[str]] = field(default_factory=dict)
+    """Targets' incarnations that died while they ran each suspect request."""
     leader_host: str = ""
     """Host of the leader that published the facts."""
     builds: dict[str, dict[str, bool]] | None = None
--- a/src/laburnumpitch/fleet/quarantine.py
+++ b/src/laburnumpitch/fleet/quarantine.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ..logging import get_logger
-from ..policy.crash_attribution import CrashAttribution
+from ..policy.crash_attribution import MEMORY_S, CrashAttribution
 from .crash_messages import TargetDied
 from .messages import FleetFacts
 
@@ -39,7 +39,8 @@
     """
 
     def __init__(self, facts: FleetFacts | None, now_s: float) -> None:
-        self.deaths: dict[str, set[str]] = {}
+        known_deaths = facts.suspect_deaths if facts else {}
+        self.deaths = {key: set(targets) for key, targets in known_deaths.items()}
         """Targets' incarnations that died while they ran a request, by the request's
         fingerprint."""
         self.fingerprints: dict[str, float] = dict.fromkeys(
@@ -54,17 +55,26 @@
         self.attribution = CrashAttribution()
         self.log = get_logger()
 
-    def record_death(self, notice: TargetDied, now_s: float) -> None:
+    def record_death(
+        self, notice: TargetDied, now_s: float, age_s: float = 0.0
+    ) -> None:
         """Record a target that died while it had a request.
 
         A target's incarnation counts once for each request.
+
+        Args:
+            notice: The report.
+            now_s: Monotonic time.
+            age_s: Time since the death was found.
         """
         incarnation = f"{notice.target_id}/{notice.born_ms}"
         self.count_death(notice.fingerprint, incarnation, now_s)
+        if age_s > MEMORY_S:
+            return
         if any(piece in self.pieces for piece in notice.pieces):
-            self.attribution.record_explained(incarnation, now_s)
+            self.attribution.record_explained(incarnation, now_s - age_s)
         else:
-            self.attribution.record_crash(incarnation, notice.pieces, now_s)
+            self.attribution.record_crash(incarnation, notice.pieces, now_s, age_s)
 
     def count_death(self, fingerprint: str, incarnation: str, now_s: float) -> None:
         """Count a death for a request, and quarantine the request if it is due."""
@@ -123,6 +133,16 @@
         ]
         return suspects[-MAX_SUSPECT_PIECES:]
 
+    def list_suspect_deaths(self) -> dict[str, list[str]]:
+        """Return the deaths of suspect and quarantined requests, which a new leader
+        goes on to count; single deaths are reported to it once more."""
+        suspects = {
+            fingerprint: sorted(dead_targets)
+            for fingerprint, dead_targets in self.deaths.items()
+            if len(dead_targets) >= SUSPECT_DEATHS
+        }
+        return dict(list(suspects.items())[-MAX_QUARANTINED:])
+
     def list_suspect_pieces(self) -> list[str]:
         """Return the pieces of which nodes have to report a completed answer.
 
--- a/src/laburnumpitch/policy/crash_attribution.py
+++ b/src/laburnumpitch/policy/crash_attribution.py
@@ -58,12 +58,17 @@
     def __init__(self) -> None:
         self.suspicions: dict[str, Suspicion] = {}
         self.crashes_by_target: dict[str, Crash] = {}
-        """Crash by the target's incarnation, oldest first."""
+        """Crash by the target's incarnation, in the sequence of the reports."""
+        self.crash_count = 0
         self.explained: set[Crash] = set()
         """Crashes whose cause is known."""
 
     def record_crash(
-        self, incarnation: str, pieces: Sequence[str], now_s: float
+        self,
+        incarnation: str,
+        pieces: Sequence[str],
+        now_s: float,
+        age_s: float = 0.0,
     ) -> None:
         """Record the pieces of a request that was unanswered when its target crashed.
 
@@ -71,8 +76,10 @@
             incarnation: The target, and when it was started.
             pieces: The prompt's shared pieces in sequence that may be the cause.
             now_s: Monotonic time.
+            age_s: Time since the crash was found; completed answers on its pieces are
+                awaited from now on.
         """
-        crash = self.find_crash(incarnation, now_s)
+        crash = self.find_crash(incarnation, now_s - age_s)
         if crash in self.explained:
             return
         for position, piece in enumerate(pieces):
@@ -82,22 +89,23 @@
             if len(suspicion.crashes) >= SUSPECT_CRASHES:
                 suspicion.suspect_since_s = min(suspicion.suspect_since_s, now_s)
 
-    def find_crash(self, incarnation: str, now_s: float) -> Crash:
+    def find_crash(self, incarnation: str, crashed_s: float) -> Crash:
         """Return the crash in which a target's incarnation ended."""
         crash = self.crashes_by_target.get(incarnation)
         if crash is not None:
             return crash
-        newest = next(reversed(self.crashes_by_target.values()), None)
-        if newest is not None and now_s - newest.time_s <= JOINT_FAILURE_S:
-            crash = newest
+        for crash in reversed(self.crashes_by_target.values()):
+            if abs(crashed_s - crash.time_s) <= JOINT_FAILURE_S:
+                break
         else:
-            crash = Crash(newest.number + 1 if newest else 0, now_s)
+            self.crash_count += 1
+            crash = Crash(self.crash_count, crashed_s)
         self.crashes_by_target[incarnation] = crash
         return crash
 
-    def record_explained(self, incarnation: str, now_s: float) -> None:
+    def record_explained(self, incarnation: str, crashed_s: float) -> None:
         """Record a crash whose cause is known, so that no other piece is suspected."""
-        self.explain({self.find_crash(incarnation, now_s)})
+        self.explain({self.find_crash(incarnation, crashed_s)})
 
     def record_completed(self, pieces: Iterable[str]) -> None:
         """Clear pieces on which a target has completed an answer."""
--- a/src/laburnumpitch/relay/crash_reports.py
+++ b/src/laburnumpitch/relay/crash_reports.py
@@ -5,19 +5,31 @@
 import asyncio
 from collections.abc import Callable
 
+from msgspec.structs import replace
+
 from ..errors import QuarantinedError, TargetError
-from ..fleet.crash_messages import PiecesCompleted, RequestCompleted, TargetDied
+from ..fleet.crash_messages import (
+    PastDeath,
+    PastDeaths,
+    PiecesCompleted,
+    RequestCompleted,
+    TargetDied,
+)
 from ..fleet.fleet_view import FleetView
 from ..fleet.messages import TargetRecord
 from ..logging import get_logger
 from ..policy.completed_pieces import CompletedPieces
 from ..transport.http_client import HttpClientPool
-from .leader_notices import LeaderNotices
+from .leader_notices import NOTICE_TIMEOUT_S, LeaderNotices
+from .reported_deaths import ReportedDeaths
 from .request import AdmittedRequest
 
 DEATH_CHECK_TIMEOUT_S = 0.3
 """Timeout of the connection that shows whether a target still runs."""
 
+REPORT_PAUSE_S = 0.5
+"""Pause after a leader could not be sent the deaths that were reported before."""
+
 DEATH_CHECK_VALIDITY_S = 1.0
 """Time for which the result of such a check is used again."""
 
@@ -44,9 +56,41 @@
         self.notices = notices
         self.get_time_s = get_time_s
         self.completed = CompletedPieces()
+        self.reported = ReportedDeaths()
+        self.term = fleet_view.term
+        """Term whose leader has the reported deaths, or is being sent them."""
         self.death_checks: dict[tuple[str, int], asyncio.Task[bool]] = {}
         """Check of each target's incarnation that may have died."""
         self.log = get_logger()
+        fleet_view.on_change.append(self.on_fleet_change)
+
+    def on_fleet_change(self) -> None:
+        """Report the deaths again if there is a new leader, which counts from there."""
+        view = self.fleet_view
+        if view.term == self.term:
+            self.reported.update_suspects(
+                view.suspect_requests,
+                view.suspect_pieces,
+                view.quarantined,
+                view.quarantined_pieces,
+            )
+            return
+        self.term = view.term
+        self.reported.set_suspects(view.suspect_requests, view.suspect_pieces)
+        deaths = self.reported.list_deaths(self.get_time_s())
+        if deaths:
+            self.log.info("deaths_reported_again", term=view.term, deaths=len(deaths))
+            self.notices.start_task(self.report_past_deaths(view.term, deaths))
+
+    async def report_past_deaths(self, term: int, deaths: list[PastDeath]) -> None:
+        """Send deaths to the leader of a term, until it has them or the term ends."""
+        started_s = self.get_time_s()
+        while self.fleet_view.term == term:
+            waited_s = self.get_time_s() - started_s
+            aged = [replace(d, age_s=d.age_s + waited_s) for d in deaths]
+            if await self.notices.send(PastDeaths(aged)):
+                return
+            await asyncio.sleep(REPORT_PAUSE_S)
 
     def check(self, admitted: AdmittedRequest) -> None:
         """Check that a request is not known to crash targets.
@@ -74,6 +118,7 @@
         """Record a complete answer, which clears the request and its pieces."""
         pieces = [piece.piece_id for piece in admitted.metadata.shared_pieces]
         self.completed.record(pieces, self.get_time_s())
+        self.reported.clear((admitted.fingerprint,), pieces)
         view = self.fleet_view
         if view.suspect_requests and admitted.fingerprint in view.suspect_requests:
             self.notices.start(RequestCompleted(admitted.fingerprint))
@@ -110,8 +155,12 @@
             self.death_checks[key] = check
             loop = asyncio.get_running_loop()
             loop.call_later(DEATH_CHECK_VALIDITY_S, self.death_checks.pop, key, None)
-        if await check:
-            await self.notices.send(notice)
+        if not await check:
+            return
+        self.reported.record(notice, self.get_time_s())
+        term = self.fleet_view.term
+        if not await self.notices.send(notice):
+            await self.report_past_deaths(term, [PastDeath(notice, NOTICE_TIMEOUT_S)])
 
     async def has_died(self, target: TargetRecord) -> bool:
         """Whether a target accepts no connection."""
--- a/src/laburnumpitch/relay/leader_notices.py
+++ b/src/laburnumpitch/relay/leader_notices.py
@@ -37,17 +37,19 @@
         """Send a notice in the background."""
         self.start_task(self.send(notice))
 
-    def start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
+    def start_task(self, coroutine: Coroutine[Any, Any, Any]) -> None:
         """Run what sends a notice in the background."""
         task = start_task("leader_notice", coroutine)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def send(self, notice: Message) -> None:
-        """Send a notice."""
+    async def send(self, notice: Message) -> bool:
+        """Send a notice; return whether the leader has it."""
         try:
             await self.leader_client.call(notice, NOTICE_TIMEOUT_S)
         except LaburnumpitchError as error:
             self.log.info(
                 "notice_untold", notice=type(notice).__name__, code=error.code
             )
+            return False
+        return True
--- a/tests/relay/relay_case.py
+++ b/tests/relay/relay_case.py
@@ -293,6 +293,7 @@
             suspect_pieces=frozenset(),
             suspect_requests=frozenset(),
             node_count=1,
+            term=1,
             sequence=1,
             other_loads={},
             evacuated=frozenset(),
