Replica: answer every call when a disk is full

Cause: calls behind a failed batch, and calls to a failed replica, were never answered. The task that opens a failed replica again makes such a call itself, to remove a lost voter, and then waited for good.

Change: a replica that fails or closes fails all that was proposed to it, and later proposals at once. Files are written unbuffered, so that nothing refused is written later, and a refused file is removed. A copy of the fleet's state that was refused is written again.

--- a/src/laburnumpitch/control/log_store.py
+++ b/src/laburnumpitch/control/log_store.py
@@ -13,7 +13,9 @@
 import struct
 import uuid
 import zlib
+from contextlib import suppress
 from dataclasses import dataclass
+from io import FileIO
 from pathlib import Path
 
 import msgspec
@@ -81,14 +83,32 @@
 def replace_file_durably(path: Path, data: bytes) -> None:
     """Replace a file atomically; after a crash it has the old or the new data."""
     temporary = path.with_suffix(".new")
-    with open(temporary, "wb") as stream:
-        stream.write(data)
-        stream.flush()
-        os.fsync(stream.fileno())
-    os.replace(temporary, path)
+    try:
+        with open(temporary, "wb", buffering=0) as stream:
+            write_all(stream, data)
+            os.fsync(stream.fileno())
+        os.replace(temporary, path)
+    except OSError:
+        # A part of a file would take the room of the next attempt.
+        with suppress(OSError):
+            temporary.unlink()
+        raise
     fsync_folder(path.parent)
 
 
+def write_all(stream: FileIO, data: bytes) -> None:
+    """Write data to an unbuffered file, which may take a part of it at a time.
+
+    A buffer would keep what a full disk has refused, and write it later.
+
+    Raises:
+        OSError: If not all of it could be written.
+    """
+    left = memoryview(data)
+    while left:
+        left = left[stream.write(left) :]
+
+
 def encode_record(body: bytes) -> bytes:
     """Return a record with its header for a body."""
     return RECORD_HEADER.pack(RECORD_MAGIC, len(body), zlib.crc32(body)) + body
@@ -233,7 +253,7 @@
 
     def open_log(self, log_size_bytes: int) -> None:
         """Open the log for appending and cut it after its last complete record."""
-        self.log_file = open(self.folder / LOG_FILE, "ab")
+        self.log_file = open(self.folder / LOG_FILE, "ab", buffering=0)
         self.log_file.truncate(log_size_bytes)
         os.fsync(self.log_file.fileno())
         fsync_folder(self.folder)
@@ -244,8 +264,7 @@
         record = encode_record(
             msgspec.msgpack.encode(Record(writes.hard_state, writes.entries))
         )
-        self.log_file.write(record)
-        self.log_file.flush()
+        write_all(self.log_file, record)
         os.fdatasync(self.log_file.fileno())
         self.log_size_bytes += len(record)
 
@@ -259,7 +278,7 @@
         record = encode_record(msgspec.msgpack.encode(Record(hard_state, entries)))
         self.log_file.close()
         replace_file_durably(self.folder / LOG_FILE, record)
-        self.log_file = open(self.folder / LOG_FILE, "ab")
+        self.log_file = open(self.folder / LOG_FILE, "ab", buffering=0)
         self.log_size_bytes = len(record)
 
     def close(self) -> None:
--- a/src/laburnumpitch/control/proposals.py
+++ b/src/laburnumpitch/control/proposals.py
@@ -25,6 +25,17 @@
     members: list[Member]
     future: asyncio.Future[bool]
 
+    def complete(self, is_appended: bool) -> None:
+        """Set the result, if it is still waited for."""
+        if not self.future.done():
+            self.future.set_result(is_appended)
+
+
+def fail_proposal(item: Any, error: Exception) -> None:
+    """Fail a proposal; other inputs of a replica have nobody who waits for them."""
+    if isinstance(item, (Proposal, MembershipProposal)):
+        fail_future(item.future, error)
+
 
 def fail_future(future: asyncio.Future[Any], error: Exception) -> None:
     """Fail a future, without a warning if nobody awaits it any more."""
--- a/src/laburnumpitch/control/raft_log.py
+++ b/src/laburnumpitch/control/raft_log.py
@@ -61,6 +61,14 @@
             self.entries = []
         self.snapshot_meta = snapshot_meta
 
+    def make_snapshot_meta(self, index: int) -> SnapshotMeta:
+        """Return the metadata of a snapshot at an index of the log."""
+        members = self.snapshot_meta.members
+        for entry in self.entries[: index - self.snapshot_meta.index]:
+            members = entry.members or members
+        term = self.get_term(index)
+        return SnapshotMeta(index, term if term is not None else 0, members)
+
     def get_latest_members(self) -> list[Member]:
         """Return the members of the latest membership entry, committed or not."""
         for entry in reversed(self.entries):
--- a/src/laburnumpitch/control/replica.py
+++ b/src/laburnumpitch/control/replica.py
@@ -11,7 +11,7 @@
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from typing import Any, Protocol
+from typing import Any
 
 from msgspec.structs import replace
 
@@ -22,7 +22,7 @@
 from ..transport.codec import decode, encode
 from ..transport.rpc import RpcPool
 from .log_store import LogStore, Snapshot, get_replica_name
-from .proposals import MembershipProposal, Proposal, fail_future
+from .proposals import MembershipProposal, Proposal, fail_future, fail_proposal
 from .raft import LEADER, RaftCore
 from .raft_messages import (
     COMMAND,
@@ -30,9 +30,9 @@
     Entry,
     Member,
     RaftMessage,
-    SnapshotMeta,
     SnapshotRequest,
 )
+from .replicated_state_machine import ReplicatedStateMachine
 
 TICK_INTERVAL_S = 0.05
 """Interval of the ticks that run the core's timers."""
@@ -53,18 +53,6 @@
 """Maximum number of inputs handled before one sync."""
 
 
-class ReplicatedStateMachine(Protocol):
-    """State machine that the replicated log drives."""
-
-    state: Any
-
-    def apply(self, command: Any) -> Any:
-        """Apply one committed command and return its result."""
-
-    def dump(self) -> bytes:
-        """Return the serialised state."""
-
-
 class Replica:
     """One replica of the log and its state machine.
 
@@ -101,10 +89,14 @@
         self.make_state_machine = make_state_machine
         self.get_address_by_name = get_address_by_name
         self.inputs: asyncio.Queue[Any] = asyncio.Queue()
+        self.batch: list[Any] = []
+        """Inputs that are being handled."""
         self.pending_proposals: dict[int, tuple[int, Proposal]] = {}
         """Term and proposal by log index, until the entry is applied."""
         self.applied_index = 0
         self.is_failed = False
+        """Whether the log could not be written; nothing is handled any more."""
+        self.is_closed = False
         self.log = get_logger()
         self.executor = ThreadPoolExecutor(1, "log-sync")
         self.tasks: list[asyncio.Task[None]] = []
@@ -142,8 +134,9 @@
 
     async def close(self) -> None:
         """Stop the replica's tasks and close its storage."""
+        self.is_closed = True
         await cancel_and_wait(*self.tasks)
-        self.fail_pending_proposals(ControlUnavailableError("replica is shutting down"))
+        self.fail_all_proposals(ControlUnavailableError("replica is shutting down"))
         # A write blocked by a failed disk must not block the shutdown.
         self.executor.shutdown(wait=False)
         self.store.close()
@@ -182,38 +175,49 @@
         """
         future = asyncio.get_running_loop().create_future()
         stamped = replace(command, time_s=time.time())
-        self.inputs.put_nowait(Proposal(stamped, future, self.get_time_s()))
+        self.queue_input(Proposal(stamped, future, self.get_time_s()))
         return await future
 
     async def propose_membership_change(self, members: list[Member]) -> bool:
-        """Propose a membership change; return whether it was appended to the log."""
+        """Propose a membership change; return whether it was appended to the log.
+
+        Raises:
+            ControlUnavailableError: If the outcome is unknown.
+        """
         future = asyncio.get_running_loop().create_future()
-        self.inputs.put_nowait(MembershipProposal(members, future))
+        self.queue_input(MembershipProposal(members, future))
         return await future
 
+    def queue_input(self, item: Any) -> None:
+        """Queue an input; nothing takes it from a replica that has ended."""
+        if not (self.is_failed or self.is_closed):
+            self.inputs.put_nowait(item)
+        else:
+            fail_proposal(item, ControlUnavailableError("replica has ended"))
+
     async def on_raft_message(self, message: RaftMessage) -> None:
         """Queue a message from another replica."""
-        self.inputs.put_nowait(message)
+        self.queue_input(message)
 
     async def run_ticks(self) -> None:
         """Queue a tick at a fixed interval."""
-        while True:
+        while not self.is_failed:
             await asyncio.sleep(TICK_INTERVAL_S)
-            self.inputs.put_nowait(None)
+            self.queue_input(None)
 
     async def run(self) -> None:
         """Handle inputs in batches until cancelled or failed."""
         try:
             while True:
-                batch = [await self.inputs.get()]
-                while not self.inputs.empty() and len(batch) < MAX_BATCH_INPUTS:
-                    batch.append(self.inputs.get_nowait())
-                await self.handle_batch(batch)
+                self.batch = [await self.inputs.get()]
+                while not self.inputs.empty() and len(self.batch) < MAX_BATCH_INPUTS:
+                    self.batch.append(self.inputs.get_nowait())
+                await self.handle_batch(self.batch)
         except Exception:
             # A replica that cannot write its log must stop participating.
             self.is_failed = True
             self.log.exception("replica_failed")
-            self.fail_pending_proposals(ControlUnavailableError("replica failed"))
+            self.fail_all_proposals(ControlUnavailableError("replica failed"))
 
     async def handle_batch(self, batch: list[Any]) -> None:
         """Step the core, sync its writes, send its messages, apply commits."""
@@ -243,9 +247,7 @@
         if isinstance(item, Proposal):
             self.handle_proposal(item)
         elif isinstance(item, MembershipProposal):
-            is_accepted = self.core.propose_membership_change(item.members)
-            if not item.future.done():
-                item.future.set_result(is_accepted)
+            item.complete(self.core.propose_membership_change(item.members))
         else:
             self.core.on_message(item, self.get_time_s())
 
@@ -349,6 +351,15 @@
             fail_future(proposal.future, error)
         self.pending_proposals.clear()
 
+    def fail_all_proposals(self, error: ControlUnavailableError) -> None:
+        """Fail all proposals, those that were not handled yet too."""
+        self.fail_pending_proposals(error)
+        unhandled, self.batch = self.batch, []
+        while not self.inputs.empty():
+            unhandled.append(self.inputs.get_nowait())
+        for item in unhandled:
+            fail_proposal(item, error)
+
     async def compact_if_due(self) -> None:
         """Take a snapshot and compact the log if it has grown past a threshold."""
         log = self.core.log
@@ -358,25 +369,16 @@
             or not entries_since_snapshot
         ):
             return
-        meta = self.make_snapshot_meta(self.applied_index)
+        meta = log.make_snapshot_meta(self.applied_index)
         snapshot = Snapshot(meta, self.state_machine.dump())
         log.compact(
-            self.make_snapshot_meta(
+            log.make_snapshot_meta(
                 max(log.snapshot_meta.index, meta.index - TRAILING_ENTRIES)
             )
         )
         await self.save_snapshot(snapshot)
         self.log.info("snapshot_saved", index=meta.index, bytes=len(snapshot.data))
 
-    def make_snapshot_meta(self, index: int) -> SnapshotMeta:
-        """Return the metadata of a snapshot at a log index."""
-        log = self.core.log
-        members = log.snapshot_meta.members
-        for entry in log.entries[: index - log.snapshot_meta.index]:
-            members = entry.members or members
-        term = log.get_term(index)
-        return SnapshotMeta(index, term if term is not None else 0, members)
-
     async def save_snapshot(self, snapshot: Snapshot) -> None:
         """Persist a snapshot and the log entries after it."""
         self.snapshot = snapshot
--- a/src/laburnumpitch/fleet/snapshot_file.py
+++ b/src/laburnumpitch/fleet/snapshot_file.py
@@ -59,15 +59,19 @@
                 facts = replace(snapshot.facts, weight_ages={})
                 state = replace(snapshot, facts=facts)
                 if state != written:
-                    written = state
-                    await self.write(snapshot)
+                    if await self.write(snapshot):
+                        written = state
+                    else:
+                        self.change_event.set()
             await asyncio.sleep(MIN_WRITE_INTERVAL_S)
 
-    async def write(self, snapshot: FleetSnapshot) -> None:
-        """Write a view durably; a disk failure is logged and otherwise ignored."""
+    async def write(self, snapshot: FleetSnapshot) -> bool:
+        """Write a view durably; return whether the disk took it."""
         loop = asyncio.get_running_loop()
         data = encode_record(encode(snapshot))
         try:
             await loop.run_in_executor(None, replace_file_durably, self.path, data)
         except OSError as error:
             self.log.warning("view_not_written", detail=str(error))
+            return False
+        return True
