Replica: delete the identity before the log

Suspected by reading, beside the report of full disks: the files of a corrupt replica were deleted in the folder's order. If that was interrupted, a voter could come back under its identity without its log and vote again in a term in which it had voted.

Change: the identity is removed first, and its removal synced.

--- a/src/laburnumpitch/control/log_store.py
+++ b/src/laburnumpitch/control/log_store.py
@@ -155,6 +155,12 @@
     )
 
 
+def remove_identity(folder: Path) -> None:
+    """Remove the identity of a replica durably, if the folder has one."""
+    (folder / IDENTITY_FILE).unlink(missing_ok=True)
+    fsync_folder(folder)
+
+
 def make_unique_replica_id(name: str) -> str:
     """Return a replica identifier that no earlier data folder of this name had."""
     return f"{name}{REPLICA_ID_SEPARATOR}{uuid.uuid4().hex[:8]}"
--- a/src/laburnumpitch/fleet/replica_manager.py
+++ b/src/laburnumpitch/fleet/replica_manager.py
@@ -8,7 +8,12 @@
 from pathlib import Path
 
 from .._tasks import cancel_and_wait, start_loop
-from ..control.log_store import LogStore, create_identity, make_unique_replica_id
+from ..control.log_store import (
+    LogStore,
+    create_identity,
+    make_unique_replica_id,
+    remove_identity,
+)
 from ..control.raft import LEADER
 from ..control.raft_messages import Member
 from ..control.replica import Replica
@@ -169,9 +174,11 @@
     def wipe(self) -> None:
         """Delete the files of a replica that is corrupt or was removed.
 
-        The node must not begin as one of the first voters any more.
+        The node must not begin as one of the first voters any more. The identity goes
+        first, since a replica that has it and no log would vote without its memory.
         """
         self.bootstrap.forget_first_start()
+        remove_identity(self.folder)
         for path in self.folder.iterdir():
             if path.is_dir():
                 shutil.rmtree(path)
--- a/tests/fleet/test_full_disks.py
+++ b/tests/fleet/test_full_disks.py
@@ -9,10 +9,12 @@
 import tempfile
 import time
 from pathlib import Path
+from types import SimpleNamespace
 
 import testtools
 
 from laburnumpitch.control.log_store import (
+    IDENTITY_FILE,
     LOG_FILE,
     LogStore,
     create_identity,
@@ -29,6 +31,7 @@
 from laburnumpitch.errors import ControlUnavailableError
 from laburnumpitch.fleet.fleet_state import FleetState
 from laburnumpitch.fleet.messages import StoreWeights
+from laburnumpitch.fleet.replica_manager import ReplicaManager
 from laburnumpitch.metrics import Metrics
 
 from .fleet_case import Fleet, FleetCase, make_configuration, wait_until
@@ -149,6 +152,39 @@
         self.assertEqual(b"former", path.read_bytes())
 
 
+class InterruptedWipeTest(testtools.TestCase):
+    """Files of a corrupt replica whose deletion is interrupted.
+
+    Guards against a voter that comes back under its identity without its log.
+    """
+
+    scenarios = [(f"after_{count}", {"count": count}) for count in range(4)]
+
+    def test_no_identity_without_log(self) -> None:
+        """The identity is gone if the log is."""
+        folder = Path(tempfile.mkdtemp())
+        create_identity(folder, "c", REPLICA, [])
+        for name in (LOG_FILE, "snapshot", "a_file"):
+            (folder / name).write_bytes(b"corrupt")
+        allowed = self.count
+        unlink = Path.unlink
+
+        def unlink_some(path: Path, *args, **options) -> None:
+            nonlocal allowed
+            allowed -= 1
+            if allowed < 0:
+                refuse_write()
+            unlink(path, *args, **options)
+
+        self.patch(Path, "unlink", unlink_some)
+        self.patch(Path, "iterdir", lambda path: iter(sorted(path.glob("*"))[::-1]))
+        bootstrap = SimpleNamespace(forget_first_start=lambda: None)
+        manager = SimpleNamespace(folder=folder, bootstrap=bootstrap)
+        self.assertRaises(OSError, ReplicaManager.wipe, manager)
+        left = {path.name for path in folder.glob("*")}
+        self.assertFalse(IDENTITY_FILE in left and LOG_FILE not in left, left)
+
+
 class FullDisksTest(FleetCase):
     """Each leader's disk is full as it is about to remove a lost voter.
 
