Drain: each request that a stopping node has read gets an answer

Cause: whether a request may outlast the node was asked once, and not in the first 2.6 s; at the end the remaining tasks were cancelled.

Ruled out: raised timeouts and extended deadlines (a request's deadline is fixed), and unsent answers.

Change: a StopDeadline holds the end from the stop request on, refuses requests that may not be repeated at once if they may be cut, checks again before a request is sent, and ends what is left with an answer: 503 if it has not run, 502 or 504 if it may have. The drain moves to fleet_drain.

--- a/src/laburnumpitch/fleet_node.py
+++ b/src/laburnumpitch/fleet_node.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import os
-import time
 from pathlib import Path
 
 import zmq
@@ -27,6 +26,7 @@
 from .fleet.snapshot_file import SnapshotFile
 from .fleet.store_owners import list_managed_stores
 from .fleet.voter_set import VoterSet
+from .fleet_drain import NodeDrain
 from .fleet_relay import FleetRelay
 from .logging import get_logger
 from .metrics import Metrics
@@ -43,16 +43,6 @@
 from .transport.rpc import RpcPool, RpcServer
 from .transport.server_limits import ServerLimits
 
-DRAIN_ACCEPT_S = 2.6
-"""Time after a stop request in which clients may still connect; the load balancer
-removes a node after two failed checks, a second apart."""
-
-CLOSE_RESERVE_S = 0.8
-"""Time before the process is killed at which the remaining requests are aborted."""
-
-DRAIN_POLL_INTERVAL_S = 0.05
-"""Interval of checks whether connections are still open."""
-
 SEED_CHECK_INTERVAL_S = 0.5
 """Interval of checks for changed seeds, for a lost leader, and for seeds that do not
 subscribe to the leader."""
@@ -361,21 +351,10 @@
 
     async def drain(self) -> None:
         """Report not ready, then wait until the client connections are closed."""
-        drain_s = self.settings.termination_grace_s - CLOSE_RESERVE_S
-        deadline_s = time.monotonic() + drain_s
         self.is_stopping = True
-        self.client_server.is_draining = True
-        self.log.info("node_draining", busy=self.client_server.active_requests)
-        await asyncio.sleep(min(DRAIN_ACCEPT_S, drain_s))
-        self.client_server.stop_accepting()
-        # Clients may go on to use their open connections.
-        self.relay.api.closes_at_s = deadline_s
-        # A connection that was accepted last has no task in this pass of the loop.
-        await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-        while self.client_server.connection_tasks and time.monotonic() < deadline_s:
-            await self.client_server.close_idle()
-            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-        self.log.info("node_drained", busy=self.client_server.active_requests)
+        stop_deadline = self.relay.services.stop_deadline
+        grace_s = self.settings.termination_grace_s
+        await NodeDrain(self.client_server, stop_deadline, grace_s).run()
 
     async def close(self) -> None:
         """Stop all components."""
--- a/src/laburnumpitch/relay/relay_api.py
+++ b/src/laburnumpitch/relay/relay_api.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import random
 
 from ..errors import (
@@ -69,9 +68,6 @@
         self.services = services
         self.random = random_source
         self.delivered = 0
-        self.closes_at_s = math.inf
-        """Monotonic time at which a stopping node aborts what still runs. Requests that
-        may last longer are refused; infinite while the node accepts connections."""
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Relay one request, or refuse it."""
@@ -82,7 +78,7 @@
             if admitted.is_take_up:
                 admitted = await self.services.stream_origins.bind(admitted)
             run = RelayRun(self.services, admitted, responder)
-            await run.serve()
+            await self.services.stop_deadline.run(run.serve())
             self.record_delivered(run)
         except LaburnumpitchError as error:
             self.log_failure(request_id, run, error)
@@ -147,8 +143,7 @@
         admitted = AdmittedRequest(
             request, metadata, route, service, organisation, configuration.version
         )
-        if self.services.get_time_s() + admitted.timeout_s > self.closes_at_s:
-            raise DrainingError("the node may stop before the request has ended")
+        self.services.stop_deadline.check(admitted.timeout_s, route)
         self.services.crash_reports.check(admitted)
         return admitted
 
--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from ..errors import (
     NoTargetError,
     OverloadedError,
@@ -164,9 +166,14 @@
             self.services, target, self.admitted, self.deadlines
         )
         try:
+            if not self.may_have_run:
+                self.services.stop_deadline.check(self.remaining_s, self.route)
             await self.open_attempt()
             await self.deliver_answer(self.attempt)
             self.attempt.record_completed(self.first_event_s)
+        except asyncio.CancelledError:
+            self.may_have_run |= self.attempt.sender.written_s is not None
+            raise
         except TargetError as error:
             if not error.sent:
                 self.attempt.cancel_saves()
--- a/src/laburnumpitch/relay/services.py
+++ b/src/laburnumpitch/relay/services.py
@@ -21,6 +21,7 @@
 from .repeated_sends import RepeatedSends
 from .request import AdmittedRequest, AnswerMetadata, Translator
 from .retry_limiter import RetryLimiter
+from .stop_deadline import StopDeadline
 from .stream_origins import StreamOrigins
 from .target_statistics import TargetStatistics
 
@@ -72,6 +73,7 @@
         self.metrics = metrics
         self.get_time_s = get_time_s
         self.repeated_sends = repeated_sends
+        self.stop_deadline = StopDeadline(get_time_s)
         self.clients = HttpClientPool()
         self.notices = LeaderNotices(leader_client)
         self.crash_reports = CrashReports(
--- a/tests/fleet/test_draining.py
+++ b/tests/fleet/test_draining.py
@@ -7,7 +7,7 @@
 
 import testtools
 
-from laburnumpitch import fleet_node
+from laburnumpitch import fleet_drain
 from laburnumpitch.transport.http_server import HttpRequest, HttpServer, Responder
 
 from .fleet_case import WAIT_S, Fleet
@@ -42,7 +42,7 @@
             return make_protocol(server)
 
         self.patch(HttpServer, "make_protocol", make_counted_protocol)
-        self.patch(fleet_node, "DRAIN_ACCEPT_S", 0.0)
+        self.patch(fleet_drain, "DRAIN_ACCEPT_S", 0.0)
 
     def test_request_is_answered(self) -> None:
         """Its request is answered before the node closes."""
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -361,7 +361,8 @@
         """It is refused as not run, for another node at once, if it may be cut."""
 
         async def scenario() -> None:
-            self.relay_api.closes_at_s = time.monotonic() + self.left_s
+            self.services.stop_deadline.start(time.monotonic() + self.left_s)
+            self.services.stop_deadline.refuse_long()
             status, headers, _ = await self.send_request("stream")
             self.assertEqual(self.status, status)
             self.assertEqual(self.sent, sum(self.count_requests()))
