Relay: count an error answer that is kept while another target is tried

What callers saw: nothing yet; found by looking for the report of other operators (a node that runs out of memory by what a faulty engine sends). A target that answers 500 with 7 MB beside one that is silent brought a node to 317 MB with 80 clients; its machine has 128 MB.

Cause: the answer was read within the memory budget, and not counted any more once it was kept as the answer of last resort.

Ruled out: bytes without end in heads, bodies, framing, events and in the answers to the node's own calls (37 to 91 MB in 13 kinds).

Change: the kept answer counts as held by its client's connection.

--- a/src/laburnumpitch/relay/relay_run.py
+++ b/src/laburnumpitch/relay/relay_run.py
@@ -248,6 +248,7 @@
         if answer.status in NOT_RUN_STATUSES:
             raise TargetError("the status for not run is not confirmed")
         if answer.status >= MIN_SERVER_ERROR_STATUS and self.is_retry_allowed():
+            await self.responder.hold(len(body))
             self.fallback = FallbackAnswer(answer.status, answer.headers, body)
             raise TargetError(f"the target answered {answer.status}")
         await self.deliver(answer.status, answer.headers, body)
--- a/tests/robustness/large_target.py
+++ b/tests/robustness/large_target.py
@@ -43,13 +43,21 @@
 
     Args:
         node: The node to which it announces itself.
+        target_id: Its identifier.
+        service: Its service.
     """
 
-    def __init__(self, node: NodeProcess) -> None:
+    def __init__(
+        self, node: NodeProcess, target_id: str = "t0", service: str = SERVICE
+    ) -> None:
         self.node = node
+        self.target_id = target_id
+        self.service = service
         self.listener = socket.create_server((HOST, 0), backlog=256)
         self.port = self.listener.getsockname()[1]
         self.is_closed = False
+        self.models: list[dict] = []
+        """Models that it announces, with their weight versions."""
         self.born_ms = int(time.time() * 1000)
         self.sequence = 0
         self.sent_bytes = 0
@@ -76,7 +84,7 @@
         """Announce the target once."""
         self.sequence += 1
         body = {
-            "service": SERVICE,
+            "service": self.service,
             "address": f"{HOST}:{self.port}",
             "zone": "dc",
             "state": "ready",
@@ -84,11 +92,13 @@
             "sequence": self.sequence,
             "born": self.born_ms,
             "version": "v1",
+            "models": self.models,
         }
         connection = http.client.HTTPConnection(
             *self.node.addresses["control"], timeout=2.0
         )
-        connection.request("PUT", "/-/instances/t0", json.dumps(body))
+        path = f"/-/instances/{self.target_id}"
+        connection.request("PUT", path, json.dumps(body))
         connection.getresponse().read()
         connection.close()
 
