--- a/src/laburnumpitch/fleet/target_notices.py
+++ b/src/laburnumpitch/fleet/target_notices.py
@@ -27,7 +27,8 @@
     if since_last_seen_s < publisher.announce_interval_s * UNREACHABLE_INTERVALS:
         return
     if publisher.targets.mark_not_announcing(notice.target_id):
-        get_logger().info(
+        log = get_logger()
+        log.info(
             "target_unreachable",
             target=notice.target_id,
             silence_s=round(since_last_seen_s, 2),
@@ -48,5 +49,6 @@
     if entry is None or entry.record.born_ms != notice.born_ms:
         return
     if publisher.targets.update(notice.target_id, has_said_leaving=True):
-        get_logger().info("target_said_leaving", target=notice.target_id)
+        log = get_logger()
+        log.info("target_said_leaving", target=notice.target_id)
         publisher.notify_change()
