Configuration: no key is valid by an empty list of organisations

Cause: an empty list counted as a configuration without organisations, whose routes are open.

Change: a configuration records whether it has a list.

Result: LastOrganisationTest and OrganisationListTest, one case of each fails with the former condition; 3 and 109 tests of their modules pass.

--- a/src/laburnumpitch/platform/configuration.py
+++ b/src/laburnumpitch/platform/configuration.py
@@ -154,7 +154,7 @@
     routes: list[WireRoute]
     services: list[WireService]
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
-    tenants: list[WireTenant] = []
+    tenants: list[WireTenant] | msgspec.UnsetType = msgspec.UNSET
 
 
 _decoder = msgspec.json.Decoder(WireConfiguration, strict=True)
@@ -191,8 +191,9 @@
                 t.isolated,
                 tuple(t.allowed_regions),
             )
-            for t in wire.tenants
+            for t in wire.tenants or ()
         ),
+        lists_organisations=wire.tenants is not msgspec.UNSET,
     )
 
 
@@ -223,7 +224,7 @@
             )
         host_prefixes.add(host_prefix)
     tenants_by_key: dict[str, str] = {}
-    for tenant in wire.tenants:
+    for tenant in wire.tenants or ():
         if not is_header_value(tenant.name):
             raise InvalidConfigurationError(f"{tenant.name!r}: not a header value")
         for key in tenant.api_keys:
--- a/src/laburnumpitch/relay/configuration.py
+++ b/src/laburnumpitch/relay/configuration.py
@@ -150,6 +150,16 @@
     organisations: tuple[Organisation, ...]
     context_epoch: int = 0
     """Epoch of the kept context that organisations share."""
+    lists_organisations: bool = False
+    """Whether it has a list of organisations, which may be empty."""
+
+    @property
+    def requires_api_keys(self) -> bool:
+        """Whether routes that are not anonymous need the key of an organisation.
+
+        With an empty list no key is valid: the last one was withdrawn.
+        """
+        return self.lists_organisations or bool(self.organisations)
 
     @cached_property
     def routes_by_host(self) -> dict[str, list[Route]]:
--- a/src/laburnumpitch/relay/relay_api.py
+++ b/src/laburnumpitch/relay/relay_api.py
@@ -135,7 +135,7 @@
         if route is None:
             raise NotFoundError("no route for the host and path")
         organisation = None
-        if configuration.organisations and not route.is_anonymous:
+        if configuration.requires_api_keys and not route.is_anonymous:
             organisation = configuration.organisations_by_key.get(metadata.api_key)
             if organisation is None:
                 raise UnauthenticatedError("unknown API key")
--- a/src/laburnumpitch/relay/services.py
+++ b/src/laburnumpitch/relay/services.py
@@ -94,10 +94,10 @@
         records = self.fleet_view.targets.get_records()
         self.clients.retain({record.address for record in records})
 
-    def has_organisations(self) -> bool:
-        """Whether the configuration in force defines organisations."""
+    def requires_api_keys(self) -> bool:
+        """Whether requests need the key of an organisation, which stays here."""
         configuration = self.fleet_view.configuration
-        return configuration is not None and bool(configuration.organisations)
+        return configuration is not None and configuration.requires_api_keys
 
     def is_retryable(self, admitted: AdmittedRequest) -> bool:
         """Whether a request may run more than once.
--- a/src/laburnumpitch/relay/target_sender.py
+++ b/src/laburnumpitch/relay/target_sender.py
@@ -133,7 +133,7 @@
             remaining_s=self.deadlines.remaining_s,
             organisation=organisation.name if organisation else "",
             # The key may have been read under an earlier configuration.
-            drops_api_key=organisation is not None or services.has_organisations(),
+            drops_api_key=organisation is not None or services.requires_api_keys(),
             priority_class=admitted.priority_class,
             weight_version=version,
             context=self.context,
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -327,3 +327,20 @@
         self.assertIs(
             InvalidConfigurationError, decode_within(DEEP_STACK_FRAMES, self.body)
         )
+
+
+class OrganisationListTest(testtools.TestCase):
+    """Configurations with and without a list of organisations."""
+
+    scenarios = [
+        ("absent", {"changes": {}, "expected": False}),
+        ("empty", {"changes": {"tenants": []}, "expected": True}),
+        ("full", {"changes": {"tenants": VALID["tenants"]}, "expected": True}),
+    ]
+
+    def test_keys_are_required(self) -> None:
+        """A list requires keys, also if it is empty."""
+        document = {name: VALID[name] for name in ("version", "routes", "services")}
+        body = msgspec.json.encode(document | self.changes)
+        configuration = decode_configuration(body)
+        self.assertEqual(self.expected, configuration.requires_api_keys)
--- a/tests/relay/test_moved_keys.py
+++ b/tests/relay/test_moved_keys.py
@@ -32,3 +32,27 @@
             self.assertIn(b"tenant: org", request.lower())
 
         self.run_relay([[make_answer()]], scenario)
+
+
+class LastOrganisationTest(RelayCase):
+    """The organisations of a configuration, of which none may be left.
+
+    Guards against the key of the last organisation, which was withdrawn with it, that
+    went on to work and reached the targets.
+    """
+
+    scenarios = [
+        ("no_list", {"lists": False, "status": 200, "sent": 1}),
+        ("empty_list", {"lists": True, "status": 401, "sent": 0}),
+    ]
+
+    def test_key_is_refused(self) -> None:
+        """No key is valid by an empty list; without a list none is needed."""
+
+        async def scenario() -> None:
+            self.change_configuration(organisations=(), lists_organisations=self.lists)
+            status, _, _ = await self.send_request("read")
+            self.assertEqual(self.status, status)
+            self.assertEqual([self.sent], self.count_requests())
+
+        self.run_relay([[make_answer()]], scenario)
