Quarantine: a request that was answered lately crashes no target

Cause: each engine that ends with a request counted as a crash by it; what other engines answered was considered between the second and the third death only.

Ruled out: a request that crashes engines now and then. Counting engines that crash together as one was weighed and not taken, since one node may repeat a request that crashes engines as quickly.

--- a/src/laburnumpitch/fleet/crash_messages.py
+++ b/src/laburnumpitch/fleet/crash_messages.py
@@ -11,6 +11,7 @@
     """Reports that a target died while it had a request."""
 
     fingerprint: str
+    """The request; empty if it cannot be the cause."""
     target_id: str
     born_ms: int
     pieces: list[str] = field(default_factory=list)
--- a/src/laburnumpitch/fleet/quarantine.py
+++ b/src/laburnumpitch/fleet/quarantine.py
@@ -68,7 +68,8 @@
             age_s: Time since the death was found.
         """
         incarnation = f"{notice.target_id}/{notice.born_ms}"
-        self.count_death(notice.fingerprint, incarnation, now_s)
+        if notice.fingerprint:
+            self.count_death(notice.fingerprint, incarnation, now_s)
         if age_s > MEMORY_S:
             return
         if any(piece in self.pieces for piece in notice.pieces):
--- a/src/laburnumpitch/relay/crash_reports.py
+++ b/src/laburnumpitch/relay/crash_reports.py
@@ -18,7 +18,7 @@
 from ..fleet.fleet_view import FleetView
 from ..fleet.messages import TargetRecord
 from ..logging import get_logger
-from ..policy.completed_pieces import CompletedPieces
+from ..policy.recent_answers import RecentAnswers
 from ..transport.http_client import HttpClientPool
 from .leader_notices import NOTICE_TIMEOUT_S, LeaderNotices
 from .reported_deaths import ReportedDeaths
@@ -55,7 +55,9 @@
         self.clients = clients
         self.notices = notices
         self.get_time_s = get_time_s
-        self.completed = CompletedPieces()
+        self.completed = RecentAnswers()
+        """Pieces of prompts that targets answered."""
+        self.answered_requests = RecentAnswers()
         self.reported = ReportedDeaths()
         self.term = fleet_view.term
         """Term whose leader has the reported deaths, or is being sent them."""
@@ -117,11 +119,12 @@
     def record_completed(self, admitted: AdmittedRequest) -> None:
         """Record a complete answer, which clears the request and its pieces."""
         pieces = [piece.piece_id for piece in admitted.metadata.shared_pieces]
+        fingerprint = admitted.fingerprint
         self.completed.record(pieces, self.get_time_s())
-        self.reported.clear((admitted.fingerprint,), pieces)
-        view = self.fleet_view
-        if view.suspect_requests and admitted.fingerprint in view.suspect_requests:
-            self.notices.start(RequestCompleted(admitted.fingerprint))
+        self.answered_requests.record((fingerprint,), self.get_time_s())
+        self.reported.clear((fingerprint,), pieces)
+        if fingerprint in self.fleet_view.suspect_requests:
+            self.notices.start(RequestCompleted(fingerprint))
         cleared = [piece for piece in pieces if piece in self.fleet_view.suspect_pieces]
         if cleared:
             self.notices.start(PiecesCompleted(cleared))
@@ -131,6 +134,9 @@
     ) -> None:
         """Report in the background that a target died, if it did.
 
+        A request that another target answered a moment ago is not the cause; many
+        copies of one may be under way at targets that crash together.
+
         Args:
             admitted: The request that the target had.
             target: The target whose connection broke.
@@ -138,8 +144,11 @@
         """
         pieces = [piece.piece_id for piece in admitted.metadata.shared_pieces]
         suspects = self.completed.select_suspects(pieces, self.get_time_s())
+        requests = self.answered_requests.select_incomplete(
+            (admitted.fingerprint,), self.get_time_s()
+        )
         notice = TargetDied(
-            admitted.fingerprint,
+            requests[0] if requests else "",
             target.target_id,
             target.born_ms,
             [] if has_begun else suspects,
--- a/src/laburnumpitch/relay/reported_deaths.py
+++ b/src/laburnumpitch/relay/reported_deaths.py
@@ -17,27 +17,35 @@
 KEEP_S = 600.0
 """Time for which a death is remembered, as long as a crashing request is refused."""
 
+DeathKey = tuple[str, str, int, tuple[str, ...]]
+"""Request, target and its incarnation, and the pieces that were reported."""
+
 
 class ReportedDeaths:
     """The deaths, and what the leader suspects of having caused them."""
 
     def __init__(self) -> None:
-        self.deaths: dict[tuple[str, str, int], TargetDied] = {}
-        """Reports by request and target's incarnation, oldest first."""
-        self.found_s: dict[tuple[str, str, int], float] = {}
+        self.deaths: dict[DeathKey, TargetDied] = {}
+        """Reports, oldest first."""
+        self.found_s: dict[DeathKey, float] = {}
         """Time at which each death was found."""
         self.suspect_requests: Set[str] = frozenset()
         self.suspect_pieces: Set[str] = frozenset()
 
     def record(self, notice: TargetDied, now_s: float) -> None:
         """Remember a death."""
-        key = (notice.fingerprint, notice.target_id, notice.born_ms)
+        key = (
+            notice.fingerprint,
+            notice.target_id,
+            notice.born_ms,
+            tuple(notice.pieces),
+        )
         self.deaths[key] = notice
         self.found_s.setdefault(key, now_s)
         while len(self.deaths) > MAX_DEATHS:
             self.forget(next(iter(self.deaths)))
 
-    def forget(self, key: tuple[str, str, int]) -> None:
+    def forget(self, key: DeathKey) -> None:
         """Forget a death."""
         del self.deaths[key], self.found_s[key]
 
--- a/tests/fleet/test_quarantine.py
+++ b/tests/fleet/test_quarantine.py
@@ -71,6 +71,13 @@
             self.assertEqual([], quarantine.list_suspect_requests())
         self.assertEqual([], list(quarantine.fingerprints))
 
+    def test_request_without_blame(self) -> None:
+        """Deaths that are reported without a request as the cause count for none."""
+        quarantine = Quarantine(None, 0.0)
+        for number in range(9):
+            quarantine.record_death(TargetDied("", f"t{number}", 1, []), 0.0)
+        self.assertEqual(({}, {}), (quarantine.deaths, quarantine.fingerprints))
+
     def test_deadly_request(self) -> None:
         """One that is never answered is refused, and after its release at once."""
         quarantine = Quarantine(None, 0.0)
--- a/tests/policy/test_crash_attribution.py
+++ b/tests/policy/test_crash_attribution.py
@@ -5,12 +5,12 @@
 import testscenarios
 import testtools
 
-from laburnumpitch.policy.completed_pieces import MEMORY_S, CompletedPieces
 from laburnumpitch.policy.crash_attribution import (
     CONFIRM_S,
     JOINT_FAILURE_S,
     CrashAttribution,
 )
+from laburnumpitch.policy.recent_answers import MEMORY_S, RecentAnswers
 
 INTERVAL_S = 2 * JOINT_FAILURE_S
 """Time between crashes that single requests cause."""
@@ -133,12 +133,12 @@
         self.assertEqual([], attribution.list_suspects())
 
 
-class CompletedPiecesTest(testtools.TestCase):
+class RecentAnswersTest(testtools.TestCase):
     """Which pieces of an unanswered request a node reports."""
 
     def test_suspects(self) -> None:
         """Pieces without a complete answer lately, or all if each has one."""
-        completed = CompletedPieces()
+        completed = RecentAnswers()
         completed.record(["first"], 0.0)
         self.assertEqual(["own"], completed.select_suspects(["first", "own"], 1.0))
         self.assertEqual(["first"], completed.select_suspects(["first"], 1.0))
--- a/tests/relay/test_crash_reports.py
+++ b/tests/relay/test_crash_reports.py
@@ -70,6 +70,31 @@
         self.run_relay(scripts, scenario)
 
 
+class AnsweredRequestTest(RelayCase):
+    """A request whose copies are answered by other targets.
+
+    Guards against an ordinary request that is refused for ten minutes, since three
+    targets which crashed together had copies of it.
+    """
+
+    scenarios = [
+        ("answered", {"first": [make_answer()], "has_cause": False}),
+        ("never_answered", {"first": [], "has_cause": True}),
+    ]
+
+    def test_is_no_cause(self) -> None:
+        """It is reported as the cause only if no target answered it lately."""
+
+        async def scenario() -> None:
+            for _ in [*self.first, Crash()]:
+                await self.send_request("once")
+            await self.wait_notices()
+            (notice,) = (n for n in self.notices if isinstance(n, TargetDied))
+            self.assertEqual(self.has_cause, bool(notice.fingerprint))
+
+        self.run_relay([[*self.first, Crash()]], scenario)
+
+
 class QuarantinedPieceTest(RelayCase):
     """Requests of one kind kept crashing targets, one after the other."""
 
