HTTP server: the task of a connection that is cut does not end as cancelled

What operators saw: with CPython 3.11.7 on x86-64, eleven tests of the server failed in each run, as the loop reported a CancelledError for each connection that a closing server cut.

Cause: asyncio's callback asks the task for its error, and a cancelled task raises instead. The server cancels the tasks that have not closed in time.

Evidence: with that callback put into 3.11.6 on this machine, the same eleven tests fail, and no other of their four modules.

Change: the cancellation ends the task in order.

--- a/src/laburnumpitch/transport/http_server.py
+++ b/src/laburnumpitch/transport/http_server.py
@@ -158,6 +158,9 @@
             self.log.exception("connection_failed")
         try:
             await connection.close(end)
+        except asyncio.CancelledError:
+            # asyncio asks the task for its error, which a cancelled one does not have.
+            self.log.debug("connection_cut")
         finally:
             forget_frames(end)
             forget_frames(reader.exception())
--- a/tests/transport/test_unsent_answers.py
+++ b/tests/transport/test_unsent_answers.py
@@ -137,6 +137,27 @@
         self.assertIn("unsent", causes)
 
 
+class AskedForErrorTest(UnsentCase):
+    """Connections whose tasks are asked for their error, as by some asyncio versions.
+
+    Guards against a cancelled task, which raises instead: CPython 3.11.7 reported each
+    connection that a closing server had cut as an unexpected error.
+    """
+
+    scenarios = SilentClientTest.scenarios
+
+    def test_no_task_counts_as_cancelled(self) -> None:
+        """Each task of a connection that is cut ends in order."""
+
+        async def run() -> list[bool]:
+            server, _, _ = await self.get_unsent_answer(self.is_stopping)
+            tasks = list(server.connection_tasks)
+            await server.close()
+            return [task.cancelled() for task in tasks]
+
+        self.assertEqual([False], self.run_async(run()))
+
+
 class RefusedClientTest(ServerCase):
     """A client that sends a whole request at once, reads its refusal and closes."""
 
