--- a/src/laburnumpitch/relay/crash_reports.py
+++ b/src/laburnumpitch/relay/crash_reports.py
@@ -55,7 +55,7 @@
         self.clients = clients
         self.notices = notices
         self.get_time_s = get_time_s
-        self.completed = RecentAnswers()
+        self.answered_pieces = RecentAnswers()
         """Pieces of prompts that targets answered."""
         self.answered_requests = RecentAnswers()
         self.reported = ReportedDeaths()
@@ -114,13 +114,13 @@
         """
         pieces = {piece.piece_id for piece in admitted.metadata.shared_pieces}
         suspects = pieces & self.fleet_view.suspect_pieces
-        return bool(self.completed.select_incomplete(suspects, self.get_time_s()))
+        return bool(self.answered_pieces.select_incomplete(suspects, self.get_time_s()))
 
     def record_completed(self, admitted: AdmittedRequest) -> None:
         """Record a complete answer, which clears the request and its pieces."""
         pieces = [piece.piece_id for piece in admitted.metadata.shared_pieces]
         fingerprint = admitted.fingerprint
-        self.completed.record(pieces, self.get_time_s())
+        self.answered_pieces.record(pieces, self.get_time_s())
         self.answered_requests.record((fingerprint,), self.get_time_s())
         self.reported.clear((fingerprint,), pieces)
         if fingerprint in self.fleet_view.suspect_requests:
@@ -143,7 +143,7 @@
             has_begun: Whether the answer had begun, which clears the request's pieces.
         """
         pieces = [piece.piece_id for piece in admitted.metadata.shared_pieces]
-        suspects = self.completed.select_suspects(pieces, self.get_time_s())
+        suspects = self.answered_pieces.select_suspects(pieces, self.get_time_s())
         requests = self.answered_requests.select_incomplete(
             (admitted.fingerprint,), self.get_time_s()
         )
