--- a/tests/fleet/test_new_leader_targets.py
+++ b/tests/fleet/test_new_leader_targets.py
@@ -17,7 +17,7 @@
     make_departed,
 )
 
-from .fleet_case import Fleet, FleetCase, make_configuration, wait_until
+from .fleet_case import WAIT_S, Fleet, FleetCase, make_configuration, wait_until
 from .test_fleet import make_announcement
 from .test_fleet_publisher import make_publisher
 
@@ -190,8 +190,9 @@
                 leader.fleet_view.targets.entries.clear()
                 leader.replica_manager.publisher.targets.former.clear()
             method, body = self.call
-            while (await fleet.call(host, method, path, body))[0] != 200:
-                await asyncio.sleep(0.1)
+            async with asyncio.timeout(WAIT_S):
+                while (await fleet.call(host, method, path, body))[0] != 200:
+                    await asyncio.sleep(0.1)
             self.assertEqual([self.states] * 3, self.list_states(fleet))
 
         self.run_fleet(4, 3, scenario)
